--- a/core/message/message.go
+++ b/core/message/message.go
@@ -131,3 +131,22 @@
 	State   TargetState        `cbor:"3,keyasint"`
 	Bears   int                `cbor:"4,keyasint"` // concurrent calls that the target bears in all
 }
+
+// Body is a message between instances. The types that implement it are plain
+// structs in this package, one file for each package that exchanges them.
+type Body interface {
+	// PeerMessage marks the type.
+	PeerMessage()
+}
+
+// PeerMessage implements Body.
+func (SubRequest) PeerMessage() {}
+
+// PeerMessage implements Body.
+func (SubReply) PeerMessage() {}
+
+// PeerMessage implements Body.
+func (CancelSub) PeerMessage() {}
+
+// PeerMessage implements Body.
+func (TargetReport) PeerMessage() {}
