--- /dev/null
+++ b/core/membership/set_test.go
@@ -0,0 +1,119 @@
+package membership_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/membership"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+func member(id string, incarnation uint64) topology.Member {
+	ref := topology.InstanceRef{ID: topology.InstanceID(id), Incarnation: topology.Incarnation(incarnation)}
+	return topology.Member{Ref: ref, Address: id + ":1", Zone: "z1", Region: "r", State: topology.MemberLive}
+}
+
+func ids(members []topology.Member) []string {
+	var out []string
+	for _, m := range members {
+		out = append(out, m.Ref.String())
+	}
+	return out
+}
+
+// Guards against taking a lagging list for proof that a new instance has ended.
+func TestListedEndsOnlyWhatWasListed(t *testing.T) {
+	s := membership.New(1, member("a", 1), 1)
+	s.Connected(10, member("b", 1)) // heard before the list names it
+	s.Listed(20, []topology.Member{member("a", 1), member("c", 1)})
+	ended := s.Listed(30, []topology.Member{member("a", 1)})
+	want := []topology.InstanceRef{member("c", 1).Ref}
+	if diff := cmp.Diff(want, ended); diff != "" {
+		t.Errorf("ended (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"a#1", "b#1"}, ids(s.Live(30))); diff != "" {
+		t.Errorf("live (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a lagging list or late gossip that brings back an earlier
+// incarnation.
+func TestOlderIncarnationNeverReturns(t *testing.T) {
+	s := membership.New(1, member("a", 1), 1)
+	s.Connected(10, member("b", 1))
+	ended := s.Connected(20, member("b", 2))
+	if diff := cmp.Diff([]topology.InstanceRef{member("b", 1).Ref}, ended); diff != "" {
+		t.Errorf("ended (-want +got):\n%s", diff)
+	}
+	s.Listed(30, []topology.Member{member("b", 1)})
+	s.Receive(40, member("c", 1).Ref, message.MemberList{Members: []topology.Member{member("b", 1)}})
+	if diff := cmp.Diff([]string{"a#1", "b#2"}, ids(s.Live(40))); diff != "" {
+		t.Errorf("live (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an instance that serves for ever without knowing which
+// configuration is in force.
+func TestIsolated(t *testing.T) {
+	s := membership.New(1, member("a", 1), 1)
+	if s.Isolated(100 * clock.Time(clock.Second)) {
+		t.Error("isolated although no other instance is known")
+	}
+	s.Connected(1000, member("b", 1))
+	cases := []struct {
+		at   clock.Time
+		want bool
+	}{{3999, false}, {4000, true}}
+	for _, c := range cases {
+		if got := s.Isolated(c.at); got != c.want {
+			t.Errorf("Isolated(%d) = %v, want %v", c.at, got, c.want)
+		}
+	}
+	s.StoreReplied(4500)
+	if s.Isolated(7000) {
+		t.Error("isolated although the store replied")
+	}
+}
+
+// Guards against a fleet in which a change reaches only some members: sets that
+// exchange gossip must agree after a bounded number of rounds.
+func TestGossipConverges(t *testing.T) {
+	const n, rounds = 60, 12
+	sets := map[topology.InstanceRef]*membership.Set{}
+	var all []topology.Member
+	for i := range n {
+		m := member(string(rune('A'+i/26))+string(rune('a'+i%26)), 1)
+		all = append(all, m)
+		sets[m.Ref] = membership.New(1, m, uint64(i))
+		sets[m.Ref].Connected(1, all[0])
+	}
+	gone := all[n-1].Ref
+	for round := range rounds {
+		now := clock.Time(1000 * (round + 1))
+		if round == rounds/2 {
+			sets[all[1].Ref].Lost(now, gone, true)
+		}
+		for _, m := range all {
+			deliver(sets, now, m.Ref, sets[m.Ref].Tick(now))
+		}
+	}
+	for _, m := range all[:n-1] {
+		if got := len(sets[m.Ref].Live(rounds * 1000)); got != n-1 {
+			t.Errorf("%s knows %d live members, want %d", m.Ref, got, n-1)
+		}
+	}
+}
+
+func deliver(sets map[topology.InstanceRef]*membership.Set, now clock.Time, from topology.InstanceRef, sends []membership.Send) {
+	for _, send := range sends {
+		s := sets[send.To.Ref]
+		if sender, ok := sets[from].Member(from); ok {
+			s.Connected(now, sender)
+		}
+		_, replies := s.Receive(now, from, send.Body)
+		deliver(sets, now, send.To.Ref, replies)
+	}
+}
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -30,10 +30,19 @@
 	TenantID string
 )
 
-// Incarnation tells two runs of a process with the same InstanceID apart. It is
-// drawn at random when the process starts and is never zero.
+// Incarnation tells two runs of a process with the same InstanceID apart. A
+// later run has a higher one: it holds the start time, and random low bits. It
+// is never zero.
 type Incarnation uint64
 
+const incarnationRandomBits = 20
+
+// NewIncarnation returns the incarnation of a process that started at the wall
+// clock time unixMS; random fills the low bits.
+func NewIncarnation(unixMS int64, random uint64) Incarnation {
+	return Incarnation(uint64(unixMS)<<incarnationRandomBits | random&(1<<incarnationRandomBits-1))
+}
+
 // InstanceRef names one run of one instance.
 type InstanceRef struct {
 	ID          InstanceID  `json:"id" cbor:"1,keyasint"`
--- /dev/null
+++ b/io/target/wire.go
@@ -0,0 +1,71 @@
+// Package target is the client of the targets' HTTP protocol, as
+// docs/design.md section 15.1 describes it.
+package target
+
+import (
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// Headers of a call.
+const (
+	HeaderStartBy  = "X-Start-By-Unix-Ms"
+	HeaderDeadline = "X-Deadline-Unix-Ms"
+)
+
+// Item is one sub-request of a call.
+type Item struct {
+	ID     string             `json:"id"` // unique within the call
+	Tenant topology.TenantID  `json:"tenant"`
+	Shards []topology.ShardID `json:"shards"`
+	Query  string             `json:"query"`
+	Limit  int                `json:"limit"`
+}
+
+// Call is one request to a target.
+type Call struct {
+	Address        string // host:port
+	Run            bool   // the item may not be repeated: POST /v1/run
+	Snapshot       topology.SnapshotID
+	Items          []Item // exactly one when Run is set
+	StartByUnixMS  int64
+	DeadlineUnixMS int64
+}
+
+type callJSON struct {
+	Snapshot topology.SnapshotID `json:"snapshot"`
+	Items    []Item              `json:"items"`
+}
+
+// CallStatus is the target's verdict on a whole call.
+type CallStatus string
+
+// Verdicts. All but CallOK promise that nothing was run.
+const (
+	CallOK       CallStatus = "ok"
+	CallShed     CallStatus = "shed"
+	CallLate     CallStatus = "late"
+	CallDraining CallStatus = "draining"
+)
+
+// ItemAnswer is the answer to one Item.
+type ItemAnswer struct {
+	ID        string                `json:"id"`
+	Tenant    topology.TenantID     `json:"tenant"`
+	Snapshot  topology.SnapshotID   `json:"snapshot"`
+	Status    message.Status        `json:"status"`
+	Snapshots []topology.SnapshotID `json:"snapshots,omitempty"`
+	Shards    []message.ShardAnswer `json:"shards,omitempty"`
+}
+
+// Answer is what a target replied to a call.
+type Answer struct {
+	State        message.TargetState `json:"state"`
+	Bears        int                 `json:"bears"` // concurrent calls that the target bears
+	Status       CallStatus          `json:"status,omitempty"`
+	RetryAfterMS clock.Duration      `json:"retryAfterMs,omitempty"`
+	Items        []ItemAnswer        `json:"items,omitempty"`
+	// Fresh is set when the call opened a new connection.
+	Fresh bool `json:"-"`
+}
