Add the two deployments as topology values with sample tickets

Package deployment builds them (122 and 111 targets) with a versioned partition map, and the first ticket of each is kept in settings/samples and compared with the generated one by a test.

--- /dev/null
+++ b/deployment/deployment.go
@@ -0,0 +1,162 @@
+// Package deployment describes the two deployments of docs/design.md section
+// 1.4 as topology values, for the samples, tests, the demo and measurements.
+package deployment
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+
+	"knapweedstall/core/topology"
+)
+
+// Deployment is one installation of the tier and the targets behind it.
+type Deployment struct {
+	Name        string
+	Region      topology.RegionID
+	Zones       []topology.ZoneID
+	ZoneMS      float64 // one-way network delay between two zones, in ms
+	ClientMS    float64 // one-way network delay between a caller and the tier, in ms
+	Instances   int     // instances of the tier
+	Collections []topology.Collection
+	Snapshots   map[topology.CollectionID][]topology.Snapshot // newest first; at least 1 for each collection
+	ConnectMS   map[topology.CollectionID]float64             // time that a new connection to a target takes, in ms
+}
+
+// shape is the size of one collection.
+type shape struct {
+	id          topology.CollectionID
+	services    int
+	targets     int // of each service
+	slots       int
+	connections int
+	connectMS   float64
+}
+
+type config struct {
+	firstPort        int
+	maxServices      int
+	shardsPerService int
+}
+
+// Option changes how a deployment is built.
+type Option func(*config)
+
+// WithFirstPort sets the loopback port of the first target; the targets that
+// follow take the next ports.
+func WithFirstPort(port int) Option { return func(c *config) { c.firstPort = port } }
+
+// WithMaxServices keeps at most n services of each collection, for tests that
+// do not need the full size. The default is all.
+func WithMaxServices(n int) Option { return func(c *config) { c.maxServices = n } }
+
+// WithShardsPerService sets how many shards each service holds; the default
+// is 2.
+func WithShardsPerService(n int) Option { return func(c *config) { c.shardsPerService = n } }
+
+// Peachline returns the deployment in region ga-central. Its targets listen on
+// loopback ports from 21000.
+func Peachline(opts ...Option) Deployment {
+	d := Deployment{
+		Name:      "peachline",
+		Region:    "ga-central",
+		Zones:     []topology.ZoneID{"macon-yard", "warner-dock", "perry-shed"},
+		ZoneMS:    1,
+		ClientMS:  3,
+		Instances: 15,
+	}
+	shapes := []shape{
+		{id: "dockdesk", services: 20, targets: 2, slots: 2, connections: 55, connectMS: 6},
+		{id: "ledgerline", services: 30, targets: 2, slots: 2, connections: 55, connectMS: 6},
+		{id: "certvault", services: 1, targets: 15, slots: 2, connections: 210, connectMS: 1},
+		{id: "routeboard", services: 1, targets: 7, slots: 2, connections: 210, connectMS: 1},
+	}
+	return build(d, shapes, 21000, opts)
+}
+
+// Berceuse returns the deployment in region bzh-west. Its targets listen on
+// loopback ports from 22000.
+func Berceuse(opts ...Option) Deployment {
+	d := Deployment{
+		Name:      "berceuse",
+		Region:    "bzh-west",
+		Zones:     []topology.ZoneID{"bzh-west-a", "bzh-west-b", "bzh-west-c", "bzh-west-d"},
+		ZoneMS:    0.5,
+		ClientMS:  3,
+		Instances: 14,
+	}
+	shapes := []shape{
+		{id: "takefinder", services: 20, targets: 2, slots: 2, connections: 50, connectMS: 6},
+		{id: "mixdesk", services: 30, targets: 2, slots: 2, connections: 50, connectMS: 6},
+		{id: "frontdesk", services: 1, targets: 7, slots: 2, connections: 70, connectMS: 1},
+		{id: "royalties", services: 1, targets: 4, slots: 2, connections: 70, connectMS: 1},
+	}
+	return build(d, shapes, 22000, opts)
+}
+
+func build(d Deployment, shapes []shape, firstPort int, opts []Option) Deployment {
+	c := config{firstPort: firstPort, shardsPerService: 2}
+	for _, o := range opts {
+		o(&c)
+	}
+	d.Snapshots = map[topology.CollectionID][]topology.Snapshot{}
+	d.ConnectMS = map[topology.CollectionID]float64{}
+	port := c.firstPort
+	for _, s := range shapes {
+		if c.maxServices > 0 {
+			s.services = min(s.services, c.maxServices)
+		}
+		collection := buildCollection(d, s, &port)
+		d.Collections = append(d.Collections, collection)
+		d.Snapshots[s.id] = []topology.Snapshot{Partition(collection, 1, c.shardsPerService)}
+		d.ConnectMS[s.id] = s.connectMS
+	}
+	return d
+}
+
+func buildCollection(d Deployment, s shape, port *int) topology.Collection {
+	collection := topology.Collection{ID: s.id}
+	for i := range s.services {
+		service := topology.Service{ID: topology.ServiceID(fmt.Sprintf("%s-%02d", s.id, i)), Region: d.Region}
+		for j := range s.targets {
+			service.Targets = append(service.Targets, topology.Target{
+				ID:          topology.TargetID(fmt.Sprintf("%s-%d", service.ID, j)),
+				Address:     net.JoinHostPort("127.0.0.1", strconv.Itoa(*port)),
+				Zone:        d.Zones[(i+j)%len(d.Zones)],
+				Slots:       s.slots,
+				Connections: s.connections,
+			})
+			*port++
+		}
+		collection.Services = append(collection.Services, service)
+	}
+	return collection
+}
+
+// Partition returns version n (from 1) of a collection's snapshot. All versions
+// have the same shards; each version moves every shard to the next service, so
+// that two versions differ in their partition maps when there is more than one
+// service.
+func Partition(c topology.Collection, n, shardsPerService int) topology.Snapshot {
+	s := topology.Snapshot{
+		ID:     topology.SnapshotID(fmt.Sprintf("%s@%d", c.ID, n)),
+		Shards: map[topology.ServiceID][]topology.ShardID{},
+	}
+	services := len(c.Services)
+	for i := range services * shardsPerService {
+		owner := c.Services[(i+n-1)%services].ID
+		s.Shards[owner] = append(s.Shards[owner], topology.ShardID(fmt.Sprintf("%s/%03d", c.ID, i)))
+	}
+	return s
+}
+
+// Targets returns the number of targets of all collections.
+func (d Deployment) Targets() int {
+	n := 0
+	for _, c := range d.Collections {
+		for _, s := range c.Services {
+			n += len(s.Targets)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/deployment/deployment_test.go
@@ -0,0 +1,103 @@
+package deployment
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/topology"
+)
+
+var update = flag.Bool("update", false, "rewrite the sample tickets")
+
+// Guards against sizes that drift from section 1.4 of the design page.
+func TestSizes(t *testing.T) {
+	for _, tc := range []struct {
+		d        Deployment
+		targets  int
+		services []int
+	}{
+		{Peachline(), 20*2 + 30*2 + 15 + 7, []int{20, 30, 1, 1}},
+		{Berceuse(), 20*2 + 30*2 + 7 + 4, []int{20, 30, 1, 1}},
+	} {
+		var services []int
+		for _, c := range tc.d.Collections {
+			services = append(services, len(c.Services))
+		}
+		if diff := cmp.Diff(tc.services, services); diff != "" || tc.d.Targets() != tc.targets {
+			t.Errorf("%s: %d targets, services %s", tc.d.Name, tc.d.Targets(), diff)
+		}
+	}
+}
+
+// Guards against two targets with one id or address, and replicas of a small
+// service that share a zone.
+func TestTargetsAreDistinct(t *testing.T) {
+	seen := map[string]bool{}
+	for _, d := range []Deployment{Peachline(), Berceuse()} {
+		for _, c := range d.Collections {
+			for _, s := range c.Services {
+				if s.Targets[0].Zone == s.Targets[1].Zone {
+					t.Errorf("%s: both replicas in %s", s.ID, s.Targets[0].Zone)
+				}
+				for _, target := range s.Targets {
+					if seen[target.Address] || seen[string(target.ID)] {
+						t.Errorf("%s %s appears twice", target.ID, target.Address)
+					}
+					seen[target.Address], seen[string(target.ID)] = true, true
+				}
+			}
+		}
+	}
+}
+
+// Guards against a partition map that loses or repeats a shard, and against
+// versions between which nothing moves.
+func TestPartitionMovesEveryShardOnce(t *testing.T) {
+	c := Peachline(WithMaxServices(5)).Collections[0]
+	owners := func(s topology.Snapshot) map[topology.ShardID]topology.ServiceID {
+		out := map[topology.ShardID]topology.ServiceID{}
+		for service, shards := range s.Shards {
+			for _, shard := range shards {
+				out[shard] = service
+			}
+		}
+		return out
+	}
+	s1, s2 := Partition(c, 1, 3), Partition(c, 2, 3)
+	first, second := owners(s1), owners(s2)
+	if len(first) != 15 || s1.ShardCount() != 15 || len(second) != 15 || s2.ShardCount() != 15 {
+		t.Fatalf("got %d and %d shards, want 15", len(first), len(second))
+	}
+	for shard, service := range first {
+		if second[shard] == service || second[shard] == "" {
+			t.Errorf("%s stays on %q", shard, second[shard])
+		}
+	}
+}
+
+// Guards against sample tickets that no longer match the deployments.
+func TestSampleTickets(t *testing.T) {
+	for _, d := range []Deployment{Peachline(), Berceuse()} {
+		want, err := d.FirstTicket().Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join("..", "settings", "samples", d.Name+"-ticket-1.json")
+		if *update {
+			if err := os.WriteFile(path, want, 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(string(want), string(got)); diff != "" {
+			t.Errorf("%s (run the test with -update): %s", path, diff)
+		}
+	}
+}
