Add the stand-in of the targets

A Fleet runs many in one process and has an HTTP control handler. A ledger records every call, the runs that may not be repeated and the calls above what a server bore.

--- /dev/null
+++ b/emulator/target/control.go
@@ -0,0 +1,136 @@
+package target
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"knapweedstall/core/topology"
+)
+
+// Control returns a handler through which other processes drive the fleet. It
+// is meant for its own loopback listener. Query parameters target, service,
+// zone and collection select servers; without any, all are meant.
+//
+//	PUT  /faults                        body: Faults, which replace those in force
+//	GET  /faults                        faults by target
+//	POST /crash, /stop, /start          as the methods of Server
+//	PUT  /snapshots/{collection}        body: topology.Snapshot, added as the newest
+//	DELETE /snapshots/{collection}?id=  retires a snapshot
+//	GET  /counts                        Counts, summed
+//	GET  /calls?sinceUnixMs=            calls kept by the ledgers
+func (f *Fleet) Control() http.Handler {
+	e := echo.New()
+	e.PUT("/faults", f.putFaults)
+	e.GET("/faults", f.getFaults)
+	e.POST("/crash", f.each(func(s *Server) error { s.Crash(); return nil }))
+	e.POST("/stop", f.each(func(s *Server) error { s.Stop(); return nil }))
+	e.POST("/start", f.each((*Server).Start))
+	e.PUT("/snapshots/:collection", f.putSnapshot)
+	e.DELETE("/snapshots/:collection", f.deleteSnapshot)
+	e.GET("/counts", f.getCounts)
+	e.GET("/calls", f.getCalls)
+	return e
+}
+
+func (f *Fleet) selected(c echo.Context) ([]*Server, error) {
+	servers, err := f.Select(Selector{
+		Collection: topology.CollectionID(c.QueryParam("collection")),
+		Service:    topology.ServiceID(c.QueryParam("service")),
+		Target:     topology.TargetID(c.QueryParam("target")),
+		Zone:       topology.ZoneID(c.QueryParam("zone")),
+	})
+	if err != nil {
+		return nil, echo.NewHTTPError(http.StatusNotFound, err.Error())
+	}
+	return servers, nil
+}
+
+func (f *Fleet) each(do func(*Server) error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		servers, err := f.selected(c)
+		if err != nil {
+			return err
+		}
+		for _, s := range servers {
+			if err := do(s); err != nil {
+				return echo.NewHTTPError(http.StatusInternalServerError, err.Error())
+			}
+		}
+		return c.NoContent(http.StatusNoContent)
+	}
+}
+
+func (f *Fleet) putFaults(c echo.Context) error {
+	var faults Faults
+	if err := (&echo.DefaultBinder{}).BindBody(c, &faults); err != nil {
+		return err
+	}
+	if err := faults.Check(); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return f.each(func(s *Server) error { return s.SetFaults(faults) })(c)
+}
+
+func (f *Fleet) getFaults(c echo.Context) error {
+	servers, err := f.selected(c)
+	if err != nil {
+		return err
+	}
+	out := map[topology.TargetID]Faults{}
+	for _, s := range servers {
+		out[s.config.Target.ID] = s.Faults()
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+func (f *Fleet) putSnapshot(c echo.Context) error {
+	var snapshot topology.Snapshot
+	if err := (&echo.DefaultBinder{}).BindBody(c, &snapshot); err != nil {
+		return err
+	}
+	if snapshot.ID == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "snapshot has no id")
+	}
+	id := topology.CollectionID(c.Param("collection"))
+	if _, err := f.Select(Selector{Collection: id}); err != nil {
+		return echo.NewHTTPError(http.StatusNotFound, err.Error())
+	}
+	f.AddSnapshot(id, snapshot)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (f *Fleet) deleteSnapshot(c echo.Context) error {
+	f.RetireSnapshot(topology.CollectionID(c.Param("collection")), topology.SnapshotID(c.QueryParam("id")))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (f *Fleet) getCounts(c echo.Context) error {
+	servers, err := f.selected(c)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, countsOf(servers))
+}
+
+func (f *Fleet) getCalls(c echo.Context) error {
+	servers, err := f.selected(c)
+	if err != nil {
+		return err
+	}
+	since := time.Time{}
+	if ms, err := strconv.ParseInt(c.QueryParam("sinceUnixMs"), 10, 64); err == nil {
+		since = time.UnixMilli(ms)
+	}
+	out := []Call{}
+	for _, s := range servers {
+		for _, call := range s.ledger.Calls() {
+			if !call.Started.Before(since) {
+				out = append(out, call)
+			}
+		}
+	}
+	return c.JSON(http.StatusOK, out)
+}
--- /dev/null
+++ b/emulator/target/target_test.go
@@ -0,0 +1,440 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+	"knapweedstall/deployment"
+)
+
+const patience = 5 * time.Second // bound of a wait for another goroutine
+
+// testFleet starts dockdesk with two services of two warm servers that answer
+// in 1 ms, unless change says otherwise.
+func testFleet(t *testing.T, change func(*Config)) *Fleet {
+	t.Helper()
+	d := deployment.Peachline(deployment.WithMaxServices(2))
+	f, err := StartFleet(d.Collections[:1], d.Snapshots, WithConfig(func(_ topology.Collection, c *Config) {
+		c.Timing = Timing{BaseMS: 1}
+		c.RestartMS = 20
+		if change != nil {
+			change(c)
+		}
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Stop)
+	return f
+}
+
+type reply struct {
+	code    int // 0 when the connection was dropped
+	Reply   Reply
+	Refusal Refusal
+}
+
+// post sends one call; headers alternate names and values.
+func post(ctx context.Context, client *http.Client, s *Server, path string, r Request, headers ...string) reply {
+	body, _ := json.Marshal(r)
+	hr, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address()+path, bytes.NewReader(body))
+	hr.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(headers); i += 2 {
+		hr.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(hr)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := reply{code: resp.StatusCode}
+	if resp.StatusCode == http.StatusOK {
+		_ = json.NewDecoder(resp.Body).Decode(&out.Reply)
+	} else {
+		_ = json.NewDecoder(resp.Body).Decode(&out.Refusal)
+	}
+	return out
+}
+
+func newClient(t *testing.T) *http.Client {
+	c := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+func search(s *Server, query string) Request {
+	item := Item{ID: "i1", Tenant: "acme", Query: query, Limit: 5}
+	snapshot := topology.SnapshotID("none")
+	if len(s.snapshots) > 0 {
+		snapshot = s.snapshots[0].id
+		for shard := range s.snapshots[0].shards {
+			item.Shards = append(item.Shards, shard)
+		}
+	}
+	return Request{Snapshot: snapshot, Items: []Item{item}}
+}
+
+// hold starts a search and returns once it runs at the server.
+func hold(t *testing.T, s *Server) (done chan reply, cancel context.CancelFunc) {
+	t.Helper()
+	before := running(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	done = make(chan reply, 1)
+	client := newClient(t)
+	go func() { done <- post(ctx, client, s, pathSearch, search(s, "amber")) }()
+	eventually(t, "the call runs", func() bool { return running(s) == before+1 })
+	return done, cancel
+}
+
+func running(s *Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life == nil {
+		return 0
+	}
+	return s.life.running
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+func unixMS(d time.Duration) string { return strconv.FormatInt(time.Now().Add(d).UnixMilli(), 10) }
+
+// Guards against refusals that run something, carry the wrong status, or lack
+// the time to retry after.
+func TestRefusalsRunNothing(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		faults  Faults
+		held    int
+		headers []string
+		want    RefusalStatus
+	}{
+		{name: "shed", held: 2, want: StatusShed},
+		{name: "start-by passed", headers: []string{HeaderStartBy, unixMS(-50 * time.Millisecond)}, want: StatusLate},
+		{name: "deadline passed", headers: []string{HeaderDeadline, unixMS(-50 * time.Millisecond)}, want: StatusLate},
+		{name: "draining", faults: Faults{Draining: true}, want: StatusDraining},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := testFleet(t, func(c *Config) { c.Timing.BaseMS = 60_000 })
+			s := f.servers[0]
+			for range tc.held {
+				hold(t, s)
+			}
+			if err := s.SetFaults(tc.faults); err != nil {
+				t.Fatal(err)
+			}
+			got := post(context.Background(), newClient(t), s, pathRun, search(s, "pay"), tc.headers...)
+			if got.code != http.StatusServiceUnavailable || got.Refusal.Status != tc.want || got.Refusal.RetryAfterMS <= 0 {
+				t.Errorf("got %+v", got)
+			}
+			if runs := s.Ledger().Runs(); len(runs) != 0 {
+				t.Errorf("refused but ran: %v", runs)
+			}
+			if c := s.Ledger().Counts(); c.Items != int64(tc.held) || c.Outcomes[Outcome(tc.want)] != 1 {
+				t.Errorf("counts %+v", c)
+			}
+		})
+	}
+}
+
+// Guards against items answered from the wrong snapshot or from part of their
+// shards.
+func TestSnapshotsComeAndGo(t *testing.T) {
+	f := testFleet(t, nil)
+	s, client := f.servers[0], newClient(t)
+	old := search(s, "amber barrel")
+	next := deployment.Partition(f.Collections()[0], 2, 2)
+	f.AddSnapshot("dockdesk", next)
+	if got := post(context.Background(), client, s, pathSearch, old); got.Reply.Items[0].Status != message.StatusOK {
+		t.Errorf("old snapshot: %+v", got)
+	}
+	moved := old
+	moved.Snapshot = next.ID
+	if got := post(context.Background(), client, s, pathSearch, moved); got.Reply.Items[0].Status != message.StatusNotRun {
+		t.Errorf("shards that moved away: %+v", got)
+	}
+	f.RetireSnapshot("dockdesk", old.Snapshot)
+	got := post(context.Background(), client, s, pathSearch, old).Reply.Items[0]
+	want := ItemReply{
+		ID: "i1", Tenant: "acme", Snapshot: old.Snapshot,
+		Status: message.StatusSnapshotGone, Snapshots: []topology.SnapshotID{next.ID},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against servers that disagree with the function that computes the
+// right answer, and against answers that hardly depend on tenant or snapshot.
+func TestAnswersMatchCorpus(t *testing.T) {
+	f := testFleet(t, nil)
+	var hits []message.Hit
+	var shards []topology.ShardID
+	var snapshot topology.SnapshotID
+	for _, s := range []*Server{f.servers[0], f.servers[2]} { // one of each service
+		r := search(s, "amber kettle")
+		snapshot = r.Snapshot
+		shards = append(shards, r.Items[0].Shards...)
+		got := post(context.Background(), newClient(t), s, pathSearch, r)
+		for _, part := range got.Reply.Items[0].Shards {
+			hits = append(hits, part.Hits...)
+		}
+	}
+	corpus := f.servers[0].config.Corpus
+	want := corpus.Answer(snapshot, shards, "acme", "amber kettle", 5)
+	if len(want) != 5 {
+		t.Fatalf("%d hits; the query must have enough for its limit", len(want))
+	}
+	if diff := cmp.Diff(want, best(hits, 5)); diff != "" {
+		t.Error(diff)
+	}
+	if cmp.Equal(want, corpus.Answer(snapshot, shards, "rival", "amber kettle", 5)) ||
+		cmp.Equal(want, corpus.Answer("other", shards, "acme", "amber kettle", 5)) {
+		t.Error("another tenant or snapshot has the same answer")
+	}
+}
+
+// Guards against a cold phase that never ends, or that survives more than it
+// bears.
+func TestColdServer(t *testing.T) {
+	cold := func(c *Config) {
+		c.StartWarm = false
+		c.Cold = Cold{Bears: 1, Calls: 3}
+	}
+	t.Run("warms up by calls", func(t *testing.T) {
+		s, client := testFleet(t, cold).servers[0], newClient(t)
+		var states []message.TargetState
+		for range 4 {
+			got := post(context.Background(), client, s, pathSearch, search(s, "amber"))
+			states = append(states, got.Reply.State)
+		}
+		want := []message.TargetState{message.TargetCold, message.TargetCold, message.TargetWarm, message.TargetWarm}
+		if diff := cmp.Diff(want, states); diff != "" {
+			t.Error(diff)
+		}
+	})
+	t.Run("warms up by time", func(t *testing.T) {
+		s := testFleet(t, func(c *Config) { c.StartWarm, c.Cold = false, Cold{Bears: 1, MS: 30} }).servers[0]
+		if got := s.State().State; got != message.TargetCold {
+			t.Errorf("state %s", got)
+		}
+		eventually(t, "warm", func() bool { return s.State() == Health{message.TargetWarm, 2} })
+	})
+	t.Run("falls over", func(t *testing.T) {
+		s := testFleet(t, func(c *Config) { cold(c); c.Timing.BaseMS = 60_000 }).servers[0]
+		first, _ := hold(t, s)
+		if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber")); got.code != 0 {
+			t.Errorf("the call that was too much got %+v", got)
+		}
+		if got := <-first; got.code != 0 {
+			t.Errorf("the running call got %+v", got)
+		}
+		eventually(t, "restarted cold", func() bool { return s.State() == Health{message.TargetCold, 1} })
+		eventually(t, "interrupted", func() bool { return s.Ledger().Counts().Outcomes[OutcomeInterrupted] == 1 })
+		if c := s.Ledger().Counts(); c.OverLimitCold != 1 || c.Outcomes[OutcomeFellOver] != 1 {
+			t.Errorf("counts %+v", c)
+		}
+	})
+}
+
+// Guards against a crash that answers, spares other calls, or comes back warm.
+func TestCrashTextDropsConnections(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = 60_000 }).servers[0]
+	other, _ := hold(t, s)
+	if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber !crash")); got.code != 0 {
+		t.Errorf("got %+v", got)
+	}
+	if got := <-other; got.code != 0 {
+		t.Errorf("the other call got %+v", got)
+	}
+	eventually(t, "restarted cold", func() bool { return s.State().State == message.TargetCold })
+}
+
+// Guards against a stop that leaves the port open, and a start elsewhere.
+func TestStopAndStartKeepTheAddress(t *testing.T) {
+	s, client := testFleet(t, nil).servers[0], newClient(t)
+	before := s.Address()
+	s.Stop()
+	if got := post(context.Background(), client, s, pathSearch, search(s, "amber")); got.code != 0 {
+		t.Errorf("stopped, but got %+v", got)
+	}
+	if err := s.Start(); err != nil || s.Address() != before {
+		t.Fatalf("address %s, error %v", s.Address(), err)
+	}
+	if got := post(context.Background(), client, s, pathSearch, search(s, "amber")); got.Reply.State != message.TargetCold {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Guards against silence that also stops new connections, or that ends by
+// itself.
+func TestSilentConnections(t *testing.T) {
+	s, client := testFleet(t, nil).servers[0], newClient(t)
+	send := func(c *http.Client) reply {
+		ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+		defer cancel()
+		return post(ctx, c, s, pathSearch, search(s, "amber"))
+	}
+	send(client) // opens the connection
+	_ = s.SetFaults(Faults{Silence: SilenceOpen})
+	if got := send(client); got.code != 0 {
+		t.Errorf("silent connection answered %+v", got)
+	}
+	if got := send(newClient(t)); got.code != http.StatusOK {
+		t.Errorf("new connection got %+v", got)
+	}
+	_ = s.SetFaults(Faults{Silence: SilenceAll})
+	if got := send(newClient(t)); got.code != 0 {
+		t.Errorf("silent server answered %+v", got)
+	}
+	if c := s.Ledger().Counts(); c.Calls != 2 {
+		t.Errorf("silent connections delivered calls: %+v", c)
+	}
+}
+
+// Guards against work that goes on after its client left or its deadline.
+func TestCancelAndDeadlineFreeTheSlot(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = 60_000 }).servers[0]
+	_, cancel := hold(t, s)
+	cancel()
+	eventually(t, "cancelled", func() bool { return running(s) == 0 })
+	got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber"), HeaderDeadline, unixMS(50*time.Millisecond))
+	if got.code != http.StatusGatewayTimeout || got.Refusal.Status != StatusDeadline || running(s) != 0 {
+		t.Errorf("got %+v with %d running", got, running(s))
+	}
+	want := map[Outcome]int64{OutcomeCancelled: 1, OutcomeDeadline: 1}
+	if diff := cmp.Diff(want, s.Ledger().Counts().Outcomes); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a ledger that misses a repeated run or one whose reply was lost.
+func TestRunsAreCounted(t *testing.T) {
+	f := testFleet(t, nil)
+	r := Request{Items: []Item{{ID: "k1", Tenant: "acme", Query: "book 7"}}}
+	got := post(context.Background(), newClient(t), f.servers[0], pathRun, r)
+	if hits := got.Reply.Items[0].Shards[0].Hits; hits[0].ID != Receipt("k1", "book 7") || hits[0].Text != "book 7" {
+		t.Errorf("receipt %+v", hits)
+	}
+	_ = f.servers[1].SetFaults(Faults{LoseReplyRate: 1})
+	if got := post(context.Background(), newClient(t), f.servers[1], pathRun, r); got.code != 0 {
+		t.Errorf("lost reply arrived: %+v", got)
+	}
+	if diff := cmp.Diff(map[RunKey]int{{"acme", "k1", "book 7"}: 2}, f.Runs()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a health endpoint that tells the truth when it should not.
+func TestHealthLagsAndLies(t *testing.T) {
+	s, client := testFleet(t, nil).servers[0], newClient(t)
+	health := func() Health {
+		var h Health
+		resp, err := client.Get("http://" + s.Address() + "/v1/health")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_ = json.NewDecoder(resp.Body).Decode(&h)
+		return h
+	}
+	_ = s.SetFaults(Faults{Draining: true, HealthLagMS: 60_000})
+	if got := health(); got != (Health{message.TargetWarm, 2}) {
+		t.Errorf("lagging health is %+v", got)
+	}
+	_ = s.SetFaults(Faults{Draining: true})
+	if got := health(); got.State != message.TargetDraining {
+		t.Errorf("current health is %+v", got)
+	}
+	_ = s.SetFaults(Faults{HealthState: message.TargetCold, HealthBears: 9})
+	if got := health(); got != (Health{message.TargetCold, 9}) {
+		t.Errorf("lying health is %+v", got)
+	}
+}
+
+// Guards against connections accepted over the limit, and connections or calls
+// that cost no time although they should.
+func TestConnectionLimitAndDelays(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.ConnectMS, c.NetworkMS, c.Target.Connections = 20, 10, 2 }).servers[0]
+	client, start := newClient(t), time.Now()
+	post(context.Background(), client, s, pathSearch, search(s, "amber"))
+	if d := time.Since(start); d < 41*time.Millisecond {
+		t.Errorf("first call took %v, want 20 ms to connect, 2 x 10 ms network and 1 ms service", d)
+	}
+	post(context.Background(), newClient(t), s, pathSearch, search(s, "amber"))
+	if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber")); got.code != 0 {
+		t.Errorf("third connection was accepted: %+v", got)
+	}
+}
+
+// Guards against a service-time distribution without its tail or costs. With
+// 20,000 draws the share of slow calls has a standard error of 0.0007.
+func TestTiming(t *testing.T) {
+	timing := Timing{BaseMS: 3, ItemMS: 1, Sigma: 0.1, SlowShare: 0.01, SlowFactor: 20}
+	r := rand.New(rand.NewPCG(1, 2))
+	slow := 0
+	for range 20_000 {
+		if d := timing.Draw(r, 2); d > 40*time.Millisecond {
+			slow++
+		}
+	}
+	if share := float64(slow) / 20_000; share < 0.006 || share > 0.014 {
+		t.Errorf("slow share %v, want 0.01", share)
+	}
+	if d := (Timing{BaseMS: 3, ItemMS: 1}).Draw(r, 2); d != 5*time.Millisecond {
+		t.Errorf("constant draw %v, want 5ms", d)
+	}
+}
+
+// Guards against control requests that reach the wrong servers or accept
+// invalid faults.
+func TestControl(t *testing.T) {
+	f := testFleet(t, nil)
+	control := f.Control()
+	do := func(method, url, body string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(method, url, bytes.NewBufferString(body))
+		r.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		control.ServeHTTP(w, r)
+		return w
+	}
+	if w := do("PUT", "/faults?zone=macon-yard", `{"draining":true}`); w.Code != http.StatusNoContent {
+		t.Fatalf("PUT /faults: %d %s", w.Code, w.Body)
+	}
+	for _, s := range f.servers {
+		if got := s.Faults().Draining; got != (s.config.Target.Zone == "macon-yard") {
+			t.Errorf("%s in %s: draining %t", s.config.Target.ID, s.config.Target.Zone, got)
+		}
+	}
+	if w := do("PUT", "/faults", `{"loseReplyRate":2}`); w.Code != http.StatusBadRequest {
+		t.Errorf("invalid faults: %d", w.Code)
+	}
+	if w := do("PUT", "/faults?target=nobody", `{}`); w.Code != http.StatusNotFound {
+		t.Errorf("unknown target: %d", w.Code)
+	}
+	if w := do("POST", "/stop?target="+string(f.servers[0].config.Target.ID), ""); w.Code != http.StatusNoContent || f.servers[0].State().State != message.TargetUnknown {
+		t.Errorf("stop: %d, %+v", w.Code, f.servers[0].State())
+	}
+	if w := do("PUT", "/snapshots/dockdesk", `{"id":"dockdesk@9"}`); w.Code != http.StatusNoContent || f.servers[0].Snapshots()[0] != "dockdesk@9" {
+		t.Errorf("snapshot: %d", w.Code)
+	}
+}
