Add the settings of the serve process

An instance must start from one checked file. The decoder walks the syntax tree of the commented JSON itself, because encoding/json stops at the first fault, takes names in any case and lets the last of two equal fields win. Every fault is reported with its path, line and kind, and no report or log shows a token. Deadlines are limited to 2,000 ms, the longest work that the transfer of rights waits for.

--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,151 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+
+	"knapweedstall/core/clock"
+)
+
+// maxTargetWork bounds the deadlines of requests: rights to use targets pass to
+// another instance only after the longest possible work in flight has ended.
+const maxTargetWork = 2 * clock.Second
+
+// minTokenBytes is the shortest token; shorter ones can be guessed.
+const minTokenBytes = 16
+
+type report func(path string, kind Kind, detail string)
+
+// check reports every invalid value.
+func (s *Settings) check(r report) {
+	required(r, "instance", string(s.Instance))
+	required(r, "zone", string(s.Zone))
+	required(r, "region", string(s.Region))
+	checkAddress(r, "listen.callers", s.Listen.Callers, true)
+	checkAddress(r, "listen.peers", s.Listen.Peers, true)
+	checkAddress(r, "listen.operators", s.Listen.Operators, true)
+	s.checkListenDiffer(r)
+	s.checkPeerAddress(r)
+	checkAddress(r, "platform", s.Platform, false)
+	s.checkTokens(r)
+	s.Limits.check(r)
+	s.Timeouts.check(r, s.Limits.DeadlineMS)
+	switch s.LogLevel {
+	case LogDebug, LogInfo, LogWarn, LogError:
+	default:
+		r("logLevel", KindInvalid, "expected debug, info, warn or error")
+	}
+}
+
+func required(r report, path, value string) bool {
+	if value == "" {
+		r(path, KindMissing, "the field is required and must not be empty")
+	}
+	return value != ""
+}
+
+// checkAddress reports anything but an IP address with a port. An address to
+// listen on may be unspecified (0.0.0.0, [::]) and have port 0.
+func checkAddress(r report, path, value string, listen bool) {
+	if !required(r, path, value) {
+		return
+	}
+	a, err := netip.ParseAddrPort(value)
+	switch {
+	case err != nil:
+		r(path, KindInvalid, "expected an IP address with a port, such as 10.0.0.7:7101")
+	case !listen && (a.Addr().IsUnspecified() || a.Port() == 0):
+		r(path, KindInvalid, "expected an address and a port that can be dialled")
+	}
+}
+
+func (s *Settings) checkListenDiffer(r report) {
+	seen := map[string]string{}
+	for _, l := range []struct{ path, value string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.peers", s.Listen.Peers}, {"listen.operators", s.Listen.Operators},
+	} {
+		a, err := netip.ParseAddrPort(l.value)
+		if err != nil || a.Port() == 0 {
+			continue
+		}
+		if other, ok := seen[a.String()]; ok {
+			r(l.path, KindDuplicate, "the address is also used by "+other)
+		}
+		seen[a.String()] = l.path
+	}
+}
+
+// checkPeerAddress lets port 0 pass when the address is the default, since the
+// process then knows the port that it got.
+func (s *Settings) checkPeerAddress(r report) {
+	if s.PeerAddress == "" {
+		return // listen.peers is missing too and already reported
+	}
+	a, err := netip.ParseAddrPort(s.PeerAddress)
+	byDefault := s.PeerAddress == s.Listen.Peers
+	switch {
+	case err != nil && byDefault: // reported for listen.peers
+	case byDefault && a.Addr().IsUnspecified():
+		r("peerAddress", KindMissing, "the field is required when listen.peers is an unspecified address")
+	case !byDefault:
+		checkAddress(r, "peerAddress", s.PeerAddress, false)
+	}
+}
+
+func (s *Settings) checkTokens(r report) {
+	seen := map[Token]string{}
+	token := func(path string, t Token) {
+		if !required(r, path, string(t)) {
+			return
+		}
+		if len(t) < minTokenBytes {
+			r(path, KindInvalid, fmt.Sprintf("expected at least %d bytes", minTokenBytes))
+		}
+		if other, ok := seen[t]; ok {
+			r(path, KindDuplicate, "the token is also used by "+other)
+		}
+		seen[t] = path
+	}
+	token("adminToken", s.AdminToken)
+	if len(s.Callers) == 0 {
+		r("callers", KindMissing, "at least one caller is required")
+	}
+	for i, c := range s.Callers {
+		path := fmt.Sprintf("callers[%d]", i)
+		token(path+".token", c.Token)
+		required(r, path+".tenant", string(c.Tenant))
+	}
+}
+
+func (l Limits) check(r report) {
+	within(r, "limits.queries", l.Queries, 1, 1_000_000)
+	within(r, "limits.connections", l.Connections, 1, 1_000_000)
+	within(r, "limits.bodyBytes", l.BodyBytes, 1, 1<<20)
+	within(r, "limits.hits", l.Hits, 1, 1_000_000)
+	within(r, "limits.deadlineMs", l.DeadlineMS, 1, maxTargetWork)
+	within(r, "limits.peerMessageBytes", l.PeerMessageBytes, 1, 64<<20)
+}
+
+func (t Timeouts) check(r report, maxDeadline clock.Duration) {
+	within(r, "timeouts.deadlineMs", t.DeadlineMS, 1, max(maxDeadline, 1))
+	for _, d := range []struct {
+		path  string
+		value clock.Duration
+	}{
+		{"timeouts.readHeaderMs", t.ReadHeaderMS},
+		{"timeouts.idleMs", t.IdleMS},
+		{"timeouts.peerDialMs", t.PeerDialMS},
+		{"timeouts.targetDialMs", t.TargetDialMS},
+		{"timeouts.platformCallMs", t.PlatformCallMS},
+		{"timeouts.platformWatchMs", t.PlatformWatchMS},
+		{"timeouts.shutdownMs", t.ShutdownMS},
+	} {
+		within(r, d.path, d.value, 1, clock.Hour)
+	}
+}
+
+func within[T ~int | ~int64](r report, path string, value, low, high T) {
+	if value < low || value > high {
+		r(path, KindInvalid, fmt.Sprintf("expected %d to %d", low, high))
+	}
+}
--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,172 @@
+package settings
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// decoder fills a struct from JSON with comments and collects faults. It walks
+// the syntax tree itself because encoding/json stops at the first fault, takes
+// field names in any case and lets the last of two equal fields win.
+type decoder struct {
+	data       []byte
+	lines      map[string]int // line of each path that the file contains
+	faulty     map[string]bool
+	faults     []Fault
+	unreadable bool // the file has no object at its top
+}
+
+func newDecoder(data []byte) *decoder {
+	return &decoder{data: data, lines: map[string]int{}, faulty: map[string]bool{}}
+}
+
+// decode fills dst, a pointer to a struct.
+func (d *decoder) decode(dst any) {
+	// hujson.Parse aliases its input, so it gets its own copy.
+	root, err := hujson.Parse(bytes.Clone(d.data))
+	if err != nil {
+		d.unreadable = true
+		d.lines[""] = syntaxLine(err)
+		d.report("", KindSyntax, err.Error())
+		return
+	}
+	if root.Value.Kind() != '{' {
+		d.unreadable = true
+	}
+	d.value("", root, reflect.ValueOf(dst).Elem())
+}
+
+// syntaxLine takes the line out of a message such as "hujson: line 3, column
+// 5: …", since hujson has no typed error for it.
+func syntaxLine(err error) int {
+	_, rest, _ := strings.Cut(err.Error(), "line ")
+	digits, _, _ := strings.Cut(rest, ",")
+	line, convErr := strconv.Atoi(digits)
+	if convErr != nil {
+		return 1
+	}
+	return line
+}
+
+// report adds a fault unless its path already has one.
+func (d *decoder) report(path string, kind Kind, detail string) {
+	if d.faulty[path] {
+		return
+	}
+	d.faulty[path] = true
+	d.faults = append(d.faults, Fault{Path: path, Line: d.line(path), Kind: kind, Detail: detail})
+}
+
+// line returns the line of path, or of its nearest parent in the file.
+func (d *decoder) line(path string) int {
+	for path != "" {
+		if line, ok := d.lines[path]; ok {
+			return line
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return max(d.lines[""], 1)
+}
+
+func (d *decoder) sorted() []Fault {
+	slices.SortStableFunc(d.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	return d.faults
+}
+
+func (d *decoder) value(path string, v hujson.Value, dst reflect.Value) {
+	d.lines[path] = 1 + bytes.Count(d.data[:v.StartOffset], []byte("\n"))
+	switch dst.Kind() {
+	case reflect.Struct:
+		d.object(path, v, dst)
+	case reflect.Slice:
+		d.array(path, v, dst)
+	default:
+		d.literal(path, v, dst)
+	}
+}
+
+func (d *decoder) object(path string, v hujson.Value, dst reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.report(path, KindWrongType, "expected an object")
+		return
+	}
+	seen := map[string]bool{}
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		sub := join(path, name)
+		field, known := fieldByName(dst, name)
+		switch {
+		case !known:
+			d.lines[sub] = 1 + bytes.Count(d.data[:member.Name.StartOffset], []byte("\n"))
+			d.report(sub, KindUnknownField, "expected one of "+strings.Join(fieldNames(dst.Type()), ", "))
+		case seen[name]:
+			d.lines[sub] = 1 + bytes.Count(d.data[:member.Name.StartOffset], []byte("\n"))
+			d.report(sub, KindDuplicate, "the field appears twice")
+		default:
+			d.value(sub, member.Value, field)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *decoder) array(path string, v hujson.Value, dst reflect.Value) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.report(path, KindWrongType, "expected an array")
+		return
+	}
+	dst.Set(reflect.MakeSlice(dst.Type(), len(array.Elements), len(array.Elements)))
+	for i, element := range array.Elements {
+		d.value(fmt.Sprintf("%s[%d]", path, i), element, dst.Index(i))
+	}
+}
+
+func (d *decoder) literal(path string, v hujson.Value, dst reflect.Value) {
+	literal, _ := v.Value.(hujson.Literal)
+	if dst.Kind() == reflect.String {
+		if v.Value.Kind() != '"' {
+			d.report(path, KindWrongType, "expected a string")
+			return
+		}
+		dst.SetString(literal.String())
+		return
+	}
+	n, err := strconv.ParseInt(string(literal), 10, 64)
+	if err != nil || dst.OverflowInt(n) {
+		d.report(path, KindWrongType, "expected a whole number")
+		return
+	}
+	dst.SetInt(n)
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func fieldByName(dst reflect.Value, name string) (reflect.Value, bool) {
+	i := slices.Index(fieldNames(dst.Type()), name)
+	if i < 0 {
+		return reflect.Value{}, false
+	}
+	return dst.Field(i), true
+}
+
+// fieldNames returns the names of the fields of t in files; every field has one.
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		names = append(names, t.Field(i).Tag.Get("json"))
+	}
+	return names
+}
--- /dev/null
+++ b/settings/faults.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind says what is wrong with a part of a settings file.
+type Kind string
+
+// Kinds of faults.
+const (
+	KindSyntax       Kind = "syntax error"
+	KindUnknownField Kind = "unknown field"
+	KindDuplicate    Kind = "duplicate"
+	KindWrongType    Kind = "wrong type"
+	KindMissing      Kind = "missing"
+	KindInvalid      Kind = "invalid value"
+)
+
+// Fault is one fault of a settings file. It never contains a token.
+type Fault struct {
+	Path   string // such as "callers[2].token"; "" for the whole file
+	Line   int    // from 1; for a missing field, that of the object that lacks it
+	Kind   Kind
+	Detail string // what is expected
+}
+
+// String returns the fault in one line.
+func (f Fault) String() string {
+	path := f.Path
+	if path == "" {
+		path = "file"
+	}
+	return fmt.Sprintf("line %d: %s: %s: %s", f.Line, path, f.Kind, f.Detail)
+}
+
+// FaultsError lists all faults of a settings file in the order of their lines.
+type FaultsError struct{ Faults []Fault }
+
+// Error implements error, with one line for each fault.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
