--- a/cmd/run.go
+++ b/cmd/run.go
@@ -42,7 +42,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
-	c.printer.setFlags(f)
+	c.setFlags(f)
 	f.StringVar(&c.address, "address", "127.0.0.1:7001", "caller address of an instance")
 	f.StringVar(&c.token, "token", "", "bearer token of the tenant")
 	f.StringVar(&c.collection, "collection", "", "collection that takes the request")
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,74 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/subcommands"
+
+	"knapweedstall/core/topology"
+	"knapweedstall/instance"
+	"knapweedstall/settings"
+)
+
+// serveCommand runs one instance.
+type serveCommand struct {
+	path string
+}
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run one instance of the tier" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return `serve -settings FILE: run one instance until SIGTERM or an interrupt.
+
+The first signal begins a graceful stop: requests in progress are finished and
+the shares of targets are handed over.
+
+Example:
+  knapweedstall serve -settings settings/samples/peachline.hujson
+` + exitCodesHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "settings file, JSON with comments")
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 0 || c.path == "" {
+		f.Usage()
+		return exitUsage
+	}
+	s, err := settings.Load(c.path)
+	if err != nil {
+		return fail(exitFailure, err)
+	}
+	logger := newLogger(s.LogLevel).With("instance", string(s.Instance))
+	incarnation := topology.NewIncarnation(time.Now().UnixMilli(), rand.Uint64())
+	if err := instance.New(s, incarnation, logger).Serve(ctx); err != nil {
+		return fail(exitFailure, err)
+	}
+	return exitOK
+}
+
+// newLogger returns a logger that writes one line of key-value pairs for each
+// record to standard error.
+func newLogger(level settings.LogLevel) *log.Logger {
+	logger := log.NewWithOptions(os.Stderr, log.Options{
+		ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter,
+	})
+	if parsed, err := log.ParseLevel(string(level)); err == nil {
+		logger.SetLevel(parsed)
+	}
+	return logger
+}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -30,7 +30,7 @@
 
 // SetFlags implements subcommands.Command.
 func (c *statusCommand) SetFlags(f *flag.FlagSet) {
-	c.printer.setFlags(f)
+	c.setFlags(f)
 	f.StringVar(&c.address, "address", "127.0.0.1:7002", "operator address of an instance")
 	f.StringVar(&c.token, "token", "", "admin token")
 }
--- a/core/membership/set.go
+++ b/core/membership/set.go
@@ -204,6 +204,12 @@
 	return live
 }
 
+// Silent reports whether no connection to the member is left, or it is leaving.
+func (s *Set) Silent(ref topology.InstanceRef) bool {
+	r := s.records[ref.ID]
+	return r != nil && r.member.Ref == ref && (r.lostAt != 0 || r.leaving)
+}
+
 // Known returns the number of other instances that have not provably ended.
 func (s *Set) Known() int { return len(s.records) }
 
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,228 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"knapweedstall/io/caller"
+)
+
+const (
+	adminToken = "admin-0123456789abcdef"
+	peerToken  = "peers-0123456789abcdef"
+	tenantA    = "harbor-ops"
+	tokenA     = "token-harbor-0123456789"
+	tenantB    = "rail-desk"
+	tokenB     = "token-rail-0123456789"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "knapweedstall-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "knapweedstall")
+	build := exec.Command("go", "build", "-o", binary, "knapweedstall")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one started process.
+type process struct {
+	cmd  *exec.Cmd
+	logs *bytes.Buffer
+	done chan struct{}
+}
+
+// start runs the binary and ends it, by its id, when the test ends.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(binary, args...), logs: &bytes.Buffer{}, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.logs, p.logs
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("%v:\n%s", args, tail(p.logs.Bytes(), 4000))
+		}
+	})
+	return p
+}
+
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // a stopped process ignores nothing but SIGKILL; harmless otherwise
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
+
+// freePorts returns n loopback addresses that were free a moment ago.
+func freePorts(t *testing.T, n int) []string {
+	t.Helper()
+	var listeners []net.Listener
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().String())
+	}
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	return out
+}
+
+// member is one instance of the tier under test.
+type member struct {
+	id, zone                 string
+	callers, peers, operator string
+	settings                 string
+	process                  *process
+}
+
+// cluster is a whole deployment of separate processes.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	platform string
+	control  string // of the targets
+	ticket   []byte // the first ticket
+	members  []*member
+	platProc *process
+}
+
+// newCluster starts the stand-ins with the given number of services of each
+// collection, and n instances spread over the three zones.
+func newCluster(t *testing.T, n, services int) *cluster {
+	t.Helper()
+	ports := freePorts(t, 2)
+	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], control: ports[1]}
+	c.platProc = start(t, "emulate", "-listen", c.platform, "platform")
+	ticketFile := filepath.Join(c.dir, "first.json")
+	start(t, "emulate", "-listen", c.control, "-services", fmt.Sprint(services), "-ticket", ticketFile, "targets")
+	eventually(t, 10*time.Second, "the first ticket is written", func() bool {
+		data, err := os.ReadFile(ticketFile)
+		c.ticket = data
+		return err == nil
+	})
+	eventually(t, 10*time.Second, "the platform answers", func() bool {
+		status, _, err := c.call(http.MethodGet, c.platform, "/v1/instances", "", nil)
+		return err == nil && status == http.StatusOK
+	})
+	zones := []string{"macon-yard", "warner-dock", "perry-shed"}
+	for i := range n {
+		c.members = append(c.members, c.newMember(fmt.Sprintf("peachline-%02d", i), zones[i%len(zones)]))
+	}
+	for _, m := range c.members {
+		c.run(m)
+	}
+	return c
+}
+
+func (c *cluster) newMember(id, zone string) *member {
+	ports := freePorts(c.t, 3)
+	m := &member{id: id, zone: zone, callers: ports[0], peers: ports[1], operator: ports[2]}
+	m.settings = filepath.Join(c.dir, id+".hujson")
+	text := fmt.Sprintf(`{
+  "instance": %q, "zone": %q, "region": "ga-central",
+  "listen": {"callers": %q, "peers": %q, "operators": %q},
+  "platform": %q, "adminToken": %q, "peerToken": %q,
+  "callers": [{"token": %q, "tenant": %q}, {"token": %q, "tenant": %q}],
+}`, id, zone, m.callers, m.peers, m.operator, c.platform, adminToken, peerToken, tokenA, tenantA, tokenB, tenantB)
+	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return m
+}
+
+// run starts the process of a member.
+func (c *cluster) run(m *member) {
+	c.t.Helper()
+	m.process = start(c.t, "serve", "-settings", m.settings)
+}
+
+// call makes one HTTP request with a short timeout.
+func (c *cluster) call(method, address, path, token string, body []byte, header ...string) (int, []byte, error) {
+	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+// query searches through a member. The status is 0 when there was no reply.
+func (c *cluster) query(m *member, token, collection, text string) (int, caller.SearchAnswer, caller.Error) {
+	body, _ := json.Marshal(caller.SearchRequest{Collection: "", Query: text, DeadlineMS: 1000, Limit: 10})
+	body = bytes.Replace(body, []byte(`"collection":""`), []byte(fmt.Sprintf(`"collection":%q`, collection)), 1)
+	var a caller.SearchAnswer
+	var e caller.Error
+	status, data, err := c.call(http.MethodPost, m.callers, "/v1/query", token, body)
+	if err != nil {
+		return 0, a, e
+	}
+	if status == http.StatusOK {
+		_ = json.Unmarshal(data, &a)
+	} else {
+		_ = json.Unmarshal(data, &e)
+	}
+	return status, a, e
+}
+
+// complete reports whether the answer covers every shard.
+func complete(status int, a caller.SearchAnswer) bool {
+	return status == http.StatusOK && a.Coverage.Total > 0 && a.Coverage.Answered == a.Coverage.Total
+}
+
+// eventually waits until check holds, or fails the test after limit.
+func eventually(t *testing.T, limit time.Duration, what string, check func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !check() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -22,6 +22,7 @@
 	"knapweedstall/io/peer"
 	"knapweedstall/io/platform"
 	"knapweedstall/io/target"
+	"knapweedstall/settings"
 )
 
 const (
@@ -31,21 +32,10 @@
 	retryPeriod = 200 * time.Millisecond
 )
 
-// Config is what an instance needs to start.
-type Config struct {
-	ID        topology.InstanceID
-	Zone      topology.ZoneID
-	Region    topology.RegionID
-	Caller    string // host:port to serve callers on
-	Peer      string // host:port to serve peers on
-	Platform  string // host:port of the platform
-	PeerToken string
-	Tokens    map[string]topology.TenantID
-}
-
 // Instance is one running member of the tier.
 type Instance struct {
-	cfg      Config
+	settings settings.Settings
+	tokens   map[string]topology.TenantID
 	self     topology.Member
 	clock    clock.Clock
 	log      *log.Logger
@@ -62,36 +52,40 @@
 }
 
 // New returns an instance that is not yet running.
-func New(cfg Config, incarnation topology.Incarnation, logger *log.Logger) *Instance {
+func New(s settings.Settings, incarnation topology.Incarnation, logger *log.Logger) *Instance {
 	self := topology.Member{
-		Ref:     topology.InstanceRef{ID: cfg.ID, Incarnation: incarnation},
-		Address: cfg.Peer, Zone: cfg.Zone, Region: cfg.Region, State: topology.MemberLive,
+		Ref:     topology.InstanceRef{ID: s.Instance, Incarnation: incarnation},
+		Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, State: topology.MemberLive,
 	}
 	in := &Instance{
-		cfg: cfg, self: self, clock: clock.NewSystem(), log: logger,
+		settings: s, self: self, clock: clock.NewSystem(), log: logger,
+		tokens:   map[string]topology.TenantID{},
 		node:     node.New(self),
 		events:   make(chan node.Event, 65536),
 		targets:  target.NewClient(8),
-		platform: platform.NewClient(cfg.Platform),
+		platform: platform.NewClient(s.Platform),
 		waiting:  map[node.CallID]chan node.SearchAnswer{},
 	}
-	in.hub = peer.NewHub(self, cfg.PeerToken, in, in.header)
+	for _, c := range s.Callers {
+		in.tokens[string(c.Token)] = c.Tenant
+	}
+	in.hub = peer.NewHub(self, string(s.PeerToken), in, in.header)
 	return in
 }
 
 // Serve runs the instance until ctx ends.
 func (in *Instance) Serve(ctx context.Context) error {
-	callers, err := net.Listen("tcp", in.cfg.Caller)
+	callers, err := net.Listen("tcp", in.settings.Listen.Callers)
 	if err != nil {
-		return errors.WithStack(&ListenError{in.cfg.Caller, err})
+		return errors.WithStack(&ListenError{in.settings.Listen.Callers, err})
 	}
-	peers, err := net.Listen("tcp", in.cfg.Peer)
+	peers, err := net.Listen("tcp", in.settings.Listen.Peers)
 	if err != nil {
-		return errors.WithStack(&ListenError{in.cfg.Peer, err})
+		return errors.WithStack(&ListenError{in.settings.Listen.Peers, err})
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, in.hub)
-	callerServer := &http.Server{Handler: caller.NewServer(in, in.cfg.Tokens), ReadHeaderTimeout: 5 * time.Second}
+	callerServer := &http.Server{Handler: caller.NewServer(in, in.tokens), ReadHeaderTimeout: 5 * time.Second}
 	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = callerServer.Serve(callers) }()
 	go func() { _ = peerServer.Serve(peers) }()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -18,11 +18,13 @@
 
 // Limits on what a caller may send.
 const (
-	MaxBodyBytes    = 64 << 10
-	MaxQueryBytes   = 16 << 10
-	MaxKeyBytes     = 256
-	MaxLimit        = 1000
-	MaxDeadline     = 30 * clock.Second
+	MaxBodyBytes  = 64 << 10
+	MaxQueryBytes = 16 << 10
+	MaxKeyBytes   = 256
+	MaxLimit      = 1000
+	// MaxDeadline is the longest possible work in flight at a target; shares
+	// change hands only after it.
+	MaxDeadline     = 2 * clock.Second
 	defaultLimit    = 10
 	defaultDeadline = clock.Second
 )
--- a/io/caller/wire.go
+++ b/io/caller/wire.go
@@ -16,7 +16,7 @@
 	Collection topology.CollectionID `json:"collection"`
 	Query      string                `json:"query"`
 	Limit      int                   `json:"limit"`      // hits wanted, 1 to 1000; default 10
-	DeadlineMS clock.Duration        `json:"deadlineMs"` // time allowed, 1 to 30000; default 1000
+	DeadlineMS clock.Duration        `json:"deadlineMs"` // time allowed, 1 to 2000; default 1000
 }
 
 // MissingShards names shards that an answer does not cover.
--- a/settings/check.go
+++ b/settings/check.go
@@ -107,6 +107,7 @@
 		seen[t] = path
 	}
 	token("adminToken", s.AdminToken)
+	token("peerToken", s.PeerToken)
 	if len(s.Callers) == 0 {
 		r("callers", KindMissing, "at least one caller is required")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,7 @@
 
 	Platform   string   `json:"platform"`   // IP address and port of the platform's object API
 	AdminToken Token    `json:"adminToken"` // bearer token of operators
+	PeerToken  Token    `json:"peerToken"`  // bearer token of instances, the same for the whole deployment
 	Callers    []Caller `json:"callers"`    // at least one; a tenant may have several tokens
 
 	Limits   Limits   `json:"limits"`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -17,6 +17,7 @@
   "listen": {"callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
   "platform": "127.0.0.1:4",
   "adminToken": "0123456789abcdef",
+  "peerToken": "peer-0123456789abcdef",
   "callers": [{"token": "fedcba9876543210", "tenant": "acme"}],
 }`
 
@@ -31,6 +32,7 @@
 	want.Listen = Listen{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
 	want.PeerAddress = "127.0.0.1:2"
 	want.Platform, want.AdminToken = "127.0.0.1:4", "0123456789abcdef"
+	want.PeerToken = "peer-0123456789abcdef"
 	want.Callers = []Caller{{"fedcba9876543210", "acme"}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
@@ -59,6 +61,7 @@
 	want := []string{
 		"1 region missing",
 		"1 peerAddress missing",
+		"1 peerToken missing",
 		"3 instance missing",
 		"4 zone wrong type",
 		"5 Region unknown field",
