--- /dev/null
+++ b/core/ticket/check.go
@@ -0,0 +1,229 @@
+package ticket
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"knapweedstall/core/topology"
+)
+
+// Check returns all faults of t when applied to s, in a fixed order: first
+// those of the ticket itself, then those of the state that it would lead to.
+func Check(s *State, t Ticket) []*FaultError {
+	if faults := checkTicket(t); len(faults) > 0 {
+		return faults
+	}
+	next := s.with(t)
+	faults := checkState(next)
+	if !t.Force {
+		faults = append(faults, lastZoneFaults(s, next, t)...)
+	}
+	return faults
+}
+
+func checkTicket(t Ticket) []*FaultError {
+	var c checker
+	c.require(t.Number > 0, "number", FaultRange, "numbers start at 1")
+	c.require(t.FilingID != "", "filingId", FaultMissing, "required field")
+	c.require(t.Operator != "", "operator", FaultMissing, "required field")
+	c.require(len(t.Changes) > 0, "changes", FaultMissing, "a ticket needs a change")
+	seen := map[Scope]bool{}
+	for i, change := range t.Changes {
+		path := indexPath("changes", i)
+		c.scope = change.Scope
+		c.require(!seen[change.Scope], path+".scope", FaultDuplicate, "a ticket changes a scope once")
+		seen[change.Scope] = true
+		c.scopeForm(change, path)
+	}
+	c.scope = Scope{}
+	if len(c.faults) == 0 {
+		data, err := json.Marshal(t)
+		c.require(err == nil && len(data) <= MaxObjectSize, "", FaultSize,
+			fmt.Sprintf("%d bytes encoded, at most %d fit", len(data), MaxObjectSize))
+	}
+	return c.faults
+}
+
+func (c *checker) scopeForm(change Change, path string) {
+	if _, err := ParseScope(change.Scope.String()); err != nil {
+		c.fault(path+".scope", FaultUnknownField, "unknown scope "+change.Scope.String())
+		return
+	}
+	if change.Value != nil && change.Value.kind() != change.Scope.Kind {
+		c.fault(path+".value", FaultMismatch, "a value of kind "+string(change.Value.kind()))
+	}
+}
+
+// checker collects faults, and the ids that must be unique in a whole state.
+type checker struct {
+	scope     Scope
+	faults    []*FaultError
+	state     *State
+	services  map[topology.ServiceID]Scope
+	targets   map[topology.TargetID]Scope
+	addresses map[string]Scope
+}
+
+func (c *checker) fault(path string, code FaultCode, detail string) {
+	c.faults = append(c.faults, &FaultError{Scope: c.scope, Path: path, Code: code, Detail: detail})
+}
+
+func (c *checker) require(ok bool, path string, code FaultCode, detail string) {
+	if !ok {
+		c.fault(path, code, detail)
+	}
+}
+
+// checkState checks every value and every reference between values.
+func checkState(s *State) []*FaultError {
+	c := checker{
+		state:     s,
+		services:  map[topology.ServiceID]Scope{},
+		targets:   map[topology.TargetID]Scope{},
+		addresses: map[string]Scope{},
+	}
+	for _, scope := range s.Scopes() {
+		c.scope = scope
+		switch v := s.values[scope].(type) {
+		case Zone:
+			c.zone(v)
+		case Collection:
+			c.collection(v.Collection)
+		case Snapshots:
+			c.snapshots(v)
+		case Tenant:
+			c.tenant(v)
+		case Tuning:
+			c.require(v.MaxBatch >= 1 && v.MaxBatch <= MaxBatchLimit, "value.maxBatch", FaultRange,
+				fmt.Sprintf("want 1 to %d", MaxBatchLimit))
+		}
+	}
+	return c.faults
+}
+
+func (c *checker) zone(z Zone) {
+	c.require(z.Region != "", "value.region", FaultMissing, "required field")
+	c.require(z.State == ZoneIn || z.State == ZoneOut, "value.state", FaultRange, "want in or out")
+}
+
+func (c *checker) collection(v topology.Collection) {
+	c.require(string(v.ID) == c.scope.ID, "value.id", FaultMismatch, "differs from the scope")
+	c.require(len(v.Services) > 0, "value.services", FaultMissing, "a collection needs a service")
+	for i, service := range v.Services {
+		c.service(service, indexPath("value.services", i))
+	}
+}
+
+func (c *checker) service(v topology.Service, path string) {
+	c.require(v.ID != "", path+".id", FaultMissing, "required field")
+	owner, used := c.services[v.ID]
+	c.require(!used, path+".id", FaultDuplicate, "service "+string(v.ID)+" is in "+owner.String())
+	c.services[v.ID] = c.scope
+	c.require(v.Region != "", path+".region", FaultMissing, "required field")
+	c.require(len(v.Targets) > 0, path+".targets", FaultMissing, "a service needs a target")
+	for i, target := range v.Targets {
+		c.target(v.Region, target, indexPath(path+".targets", i))
+	}
+}
+
+// target refuses an address used twice because each entry would get its own
+// slots, and the server would receive a multiple of what it can handle.
+func (c *checker) target(region topology.RegionID, v topology.Target, path string) {
+	c.require(v.ID != "", path+".id", FaultMissing, "required field")
+	owner, used := c.targets[v.ID]
+	c.require(!used, path+".id", FaultDuplicate, "target "+string(v.ID)+" is in "+owner.String())
+	c.targets[v.ID] = c.scope
+	_, err := netip.ParseAddrPort(v.Address)
+	c.require(err == nil, path+".address", FaultSyntax, "want ip:port")
+	owner, used = c.addresses[v.Address]
+	c.require(!used, path+".address", FaultDuplicate, "address "+v.Address+" is in "+owner.String())
+	c.addresses[v.Address] = c.scope
+	c.require(v.Slots >= 1, path+".slots", FaultRange, "want at least 1")
+	c.require(v.Connections >= v.Slots, path+".connections", FaultRange, "want at least the slots")
+	zone, ok := c.state.Zone(v.Zone)
+	if !ok {
+		c.fault(path+".zone", FaultNotFound, "no zone "+string(v.Zone))
+		return
+	}
+	c.require(zone.Region == region, path+".zone", FaultMismatch, "zone "+string(v.Zone)+" is in region "+string(zone.Region))
+}
+
+func (c *checker) snapshots(list Snapshots) {
+	collection, ok := c.state.Collection(topology.CollectionID(c.scope.ID))
+	if !ok {
+		c.fault("scope", FaultNotFound, "no collection "+c.scope.ID)
+		return
+	}
+	known := map[topology.ServiceID]bool{}
+	for _, service := range collection.Services {
+		known[service.ID] = true
+	}
+	c.require(len(list) > 0, "value", FaultMissing, "want at least one snapshot, or null to remove the scope")
+	seen := map[topology.SnapshotID]bool{}
+	for i, snapshot := range list {
+		path := indexPath("value", i)
+		c.require(snapshot.ID != "", path+".id", FaultMissing, "required field")
+		c.require(!seen[snapshot.ID], path+".id", FaultDuplicate, "snapshot "+string(snapshot.ID))
+		seen[snapshot.ID] = true
+		c.partitionMap(snapshot, known, path+".shards")
+	}
+}
+
+func (c *checker) partitionMap(s topology.Snapshot, known map[topology.ServiceID]bool, path string) {
+	c.require(len(s.Shards) > 0, path, FaultMissing, "a snapshot needs a shard")
+	placed := map[topology.ShardID]topology.ServiceID{}
+	for _, service := range s.Services() {
+		at := path + "." + string(service)
+		c.require(known[service], at, FaultNotFound, "no service "+string(service)+" in the collection")
+		c.require(len(s.Shards[service]) > 0, at, FaultMissing, "a service needs a shard")
+		for i, shard := range s.Shards[service] {
+			c.require(shard != "", indexPath(at, i), FaultMissing, "empty shard id")
+			first, used := placed[shard]
+			c.require(!used, indexPath(at, i), FaultDuplicate, "shard "+string(shard)+" is also in "+string(first))
+			placed[shard] = service
+		}
+	}
+}
+
+func (c *checker) tenant(v Tenant) {
+	c.require(v.Weight >= 1, "value.weight", FaultRange, "want at least 1")
+	seen := map[topology.CollectionID]bool{}
+	for i, id := range v.Collections {
+		path := indexPath("value.collections", i)
+		c.require(!seen[id], path, FaultDuplicate, "collection "+string(id))
+		seen[id] = true
+		_, ok := c.state.Collection(id)
+		c.require(ok, path, FaultNotFound, "no collection "+string(id))
+	}
+}
+
+// lastZoneFaults names the changes that take out or remove the last zone of a
+// region that receives work.
+func lastZoneFaults(before, after *State, t Ticket) []*FaultError {
+	left := zonesIn(after)
+	had := zonesIn(before)
+	var c checker
+	for i, change := range t.Changes {
+		old, ok := before.values[change.Scope].(Zone)
+		if !ok || old.State != ZoneIn {
+			continue
+		}
+		now, _ := change.Value.(Zone)
+		stays := now.State == ZoneIn && now.Region == old.Region
+		c.scope = change.Scope
+		c.require(stays || had[old.Region] == 0 || left[old.Region] > 0, indexPath("changes", i), FaultForce,
+			"takes out the last zone of region "+string(old.Region))
+	}
+	return c.faults
+}
+
+func zonesIn(s *State) map[topology.RegionID]int {
+	count := map[topology.RegionID]int{}
+	for _, v := range s.values {
+		if z, ok := v.(Zone); ok && z.State == ZoneIn {
+			count[z.Region]++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/core/ticket/checkpoint.go
@@ -0,0 +1,91 @@
+package ticket
+
+import (
+	"encoding/json"
+
+	"knapweedstall/core/object"
+)
+
+// CheckpointKey is the object that holds the newest checkpoint.
+const CheckpointKey object.Key = "config/checkpoint"
+
+// CheckpointInterval is the number of tickets between checkpoints.
+const CheckpointInterval = 50
+
+type checkpointEntry struct {
+	Number Number `json:"number"` // ticket that last set the scope
+	Change
+}
+
+// EncodeCheckpoint returns the JSON form of s. Equal states give equal bytes. It
+// fails with a *FaultError of code FaultSize when the store could not hold it.
+func EncodeCheckpoint(s *State) ([]byte, error) {
+	wire := struct {
+		Number Number `json:"number"`
+		Scopes []any  `json:"scopes"`
+	}{Number: s.number, Scopes: []any{}}
+	type entry struct {
+		Number Number `json:"number"`
+		Scope  Scope  `json:"scope"`
+		Value  Value  `json:"value"`
+	}
+	for _, scope := range s.Scopes() {
+		wire.Scopes = append(wire.Scopes, entry{s.touched[scope], scope, s.values[scope]})
+	}
+	data, err := json.Marshal(wire)
+	if err != nil {
+		return nil, &FaultError{Code: FaultSyntax, Detail: err.Error()}
+	}
+	if len(data) > MaxObjectSize {
+		return nil, &FaultError{Code: FaultSize, Detail: "the state does not fit one object"}
+	}
+	return data, nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler; without it the method of the
+// embedded Change would hide Number.
+func (e *checkpointEntry) UnmarshalJSON(data []byte) error {
+	var wire struct {
+		Number Number          `json:"number"`
+		Scope  Scope           `json:"scope"`
+		Value  json.RawMessage `json:"value"`
+	}
+	if err := decodeStrict(data, &wire); err != nil {
+		return err
+	}
+	value, err := decodeValue(wire.Scope.Kind, wire.Value)
+	if err != nil {
+		return at(err, wire.Scope, "value")
+	}
+	*e = checkpointEntry{Number: wire.Number, Change: Change{Scope: wire.Scope, Value: value}}
+	return nil
+}
+
+// DecodeCheckpoint decodes and checks a checkpoint. It fails with *FaultError.
+func DecodeCheckpoint(data []byte) (*State, error) {
+	var wire struct {
+		Number Number            `json:"number"`
+		Scopes []checkpointEntry `json:"scopes"`
+	}
+	if err := decodeStrict(data, &wire); err != nil {
+		return nil, err
+	}
+	s := NewState()
+	s.number = wire.Number
+	for i, e := range wire.Scopes {
+		path := indexPath("scopes", i)
+		switch {
+		case s.values[e.Scope] != nil:
+			return nil, &FaultError{Scope: e.Scope, Path: path, Code: FaultDuplicate, Detail: "repeated scope"}
+		case e.Value == nil:
+			return nil, &FaultError{Scope: e.Scope, Path: path, Code: FaultMissing, Detail: "a checkpoint has no removals"}
+		case e.Number < 1 || e.Number > wire.Number:
+			return nil, &FaultError{Scope: e.Scope, Path: path + ".number", Code: FaultRange, Detail: "not a ticket of this fold"}
+		}
+		s.set(e.Change, e.Number)
+	}
+	if faults := checkState(s); len(faults) > 0 {
+		return nil, faults[0]
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/ticket/decode.go
@@ -0,0 +1,156 @@
+package ticket
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// decodeStrict decodes one JSON value into out and refuses unknown fields,
+// repeated keys and trailing data. It fails with *FaultError.
+func decodeStrict(data []byte, out any) error {
+	if err := refuseRepeatedKeys(data); err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	err := d.Decode(out)
+	if err == nil {
+		return nil
+	}
+	var fault *FaultError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &fault):
+		return fault
+	case errors.As(err, &wrongType):
+		return &FaultError{Path: wrongType.Field, Code: FaultSyntax, Detail: "unexpected JSON " + wrongType.Value}
+	}
+	const unknown = "json: unknown field "
+	if name, ok := strings.CutPrefix(err.Error(), unknown); ok {
+		return &FaultError{Path: strings.Trim(name, `"`), Code: FaultUnknownField, Detail: "unknown field"}
+	}
+	return &FaultError{Code: FaultSyntax, Detail: err.Error()}
+}
+
+// maxDepth bounds the nesting of a JSON value; tickets need 8 levels.
+const maxDepth = 16
+
+// refuseRepeatedKeys exists because encoding/json keeps the last of several
+// equal keys, which would silently drop, for example, part of a partition map.
+func refuseRepeatedKeys(data []byte) error {
+	w := walker{json.NewDecoder(bytes.NewReader(data))}
+	if err := w.value("", maxDepth); err != nil {
+		return err
+	}
+	if _, err := w.d.Token(); !errors.Is(err, io.EOF) {
+		return &FaultError{Code: FaultSyntax, Detail: "data after the JSON value"}
+	}
+	return nil
+}
+
+type walker struct {
+	d *json.Decoder
+}
+
+func (w walker) token(path string) (json.Token, error) {
+	token, err := w.d.Token()
+	if err != nil {
+		return nil, &FaultError{Path: path, Code: FaultSyntax, Detail: err.Error()}
+	}
+	return token, nil
+}
+
+func (w walker) value(path string, depth int) error {
+	token, err := w.token(path)
+	if err != nil {
+		return err
+	}
+	if depth == 0 {
+		return &FaultError{Path: path, Code: FaultSyntax, Detail: "nested too deeply"}
+	}
+	switch token {
+	case json.Delim('{'):
+		return w.object(path, depth-1)
+	case json.Delim('['):
+		return w.array(path, depth-1)
+	}
+	return nil
+}
+
+func (w walker) object(path string, depth int) error {
+	seen := map[string]bool{}
+	for w.d.More() {
+		token, err := w.token(path)
+		if err != nil {
+			return err
+		}
+		key, _ := token.(string)
+		field := join(path, key)
+		if seen[key] {
+			return &FaultError{Path: field, Code: FaultDuplicate, Detail: "repeated key"}
+		}
+		seen[key] = true
+		if err := w.value(field, depth); err != nil {
+			return err
+		}
+	}
+	_, err := w.token(path)
+	return err
+}
+
+func (w walker) array(path string, depth int) error {
+	for i := 0; w.d.More(); i++ {
+		if err := w.value(indexPath(path, i), depth); err != nil {
+			return err
+		}
+	}
+	_, err := w.token(path)
+	return err
+}
+
+func requireFields(raw json.RawMessage, names []string) error {
+	if len(names) == 0 {
+		return nil
+	}
+	var fields map[string]json.RawMessage
+	if err := decodeStrict(raw, &fields); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if value, ok := fields[name]; !ok || string(value) == "null" {
+			return &FaultError{Path: name, Code: FaultMissing, Detail: "required field"}
+		}
+	}
+	return nil
+}
+
+// at completes a fault with the scope and the path of the enclosing value.
+func at(err error, s Scope, path string) error {
+	err = prefix(err, path)
+	var fault *FaultError
+	if errors.As(err, &fault) && fault.Scope.IsZero() {
+		fault.Scope = s
+	}
+	return err
+}
+
+func prefix(err error, path string) error {
+	var fault *FaultError
+	if errors.As(err, &fault) && path != "" {
+		fault.Path = join(path, fault.Path)
+	}
+	return err
+}
+
+func join(path, field string) string {
+	if path == "" || field == "" {
+		return path + field
+	}
+	return path + "." + field
+}
+
+func indexPath(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
--- /dev/null
+++ b/core/ticket/value.go
@@ -0,0 +1,78 @@
+package ticket
+
+import "knapweedstall/core/topology"
+
+// Value is the whole new state of a scope: Zone, Collection, Snapshots, Tenant
+// or Tuning. Values are shared between states and must not be changed.
+type Value interface {
+	kind() Kind
+}
+
+// ZoneState says whether an availability zone receives new work.
+type ZoneState string
+
+// Zone states.
+const (
+	ZoneIn  ZoneState = "in"
+	ZoneOut ZoneState = "out"
+)
+
+// Zone is the value of zone/<id>.
+type Zone struct {
+	Region topology.RegionID `json:"region"`
+	State  ZoneState         `json:"state"`
+}
+
+func (Zone) kind() Kind { return KindZone }
+
+// Collection is the value of collection/<id>. Its id repeats the scope's.
+type Collection struct {
+	topology.Collection
+}
+
+func (Collection) kind() Kind { return KindCollection }
+
+// Snapshots is the value of snapshot/<collection>: the usable snapshots,
+// newest first.
+type Snapshots []topology.Snapshot
+
+func (Snapshots) kind() Kind { return KindSnapshot }
+
+// Tenant is the value of tenant/<id>.
+type Tenant struct {
+	Weight      int                     `json:"weight"`      // share under overload, relative to the other tenants; at least 1
+	Collections []topology.CollectionID `json:"collections"` // collections that the tenant may use
+}
+
+func (Tenant) kind() Kind { return KindTenant }
+
+// Tuning is the value of tuning. All fields are required.
+type Tuning struct {
+	Hedging  bool `json:"hedging"`  // send slow reads to a second target
+	MaxBatch int  `json:"maxBatch"` // sub-requests of one tenant in one call to a target; 1 to MaxBatchLimit
+	Canary   bool `json:"canary"`   // try unknown queries on one target first
+}
+
+func (Tuning) kind() Kind { return KindTuning }
+
+// MaxBatchLimit bounds Tuning.MaxBatch.
+const MaxBatchLimit = 256
+
+// DefaultTuning is in force until a ticket sets tuning.
+func DefaultTuning() Tuning { return Tuning{Hedging: true, MaxBatch: 8, Canary: true} }
+
+// requiredFields lists the top-level fields that a value must state, since a
+// value is the whole new state and an omitted field would silently become zero.
+func requiredFields(k Kind) []string {
+	switch k {
+	case KindZone:
+		return []string{"region", "state"}
+	case KindCollection:
+		return []string{"id", "services"}
+	case KindTenant:
+		return []string{"weight", "collections"}
+	case KindTuning:
+		return []string{"hedging", "maxBatch", "canary"}
+	}
+	return nil
+}
