--- /dev/null
+++ b/core/holding/command.go
@@ -0,0 +1,79 @@
+package holding
+
+import (
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// Command is something that the driver must do: Send, ReadObject or WriteObject.
+type Command interface{ command() }
+
+// Send sends Body to exactly the incarnation To. It may be lost or delayed.
+type Send struct {
+	To   topology.InstanceRef
+	Body message.Body
+}
+
+// ReadID names one read of the store.
+type ReadID uint64
+
+// ReadObject reads an object from the store, not from a cache, after the command
+// was returned. The driver always answers with ReadDone.
+type ReadObject struct {
+	ID  ReadID
+	Key string
+}
+
+// WriteObject writes Value under Key if the object's version is Expect, where 0
+// stands for absent. The driver always answers with WriteDone.
+type WriteObject struct {
+	Key    string
+	Expect int64
+	Value  []byte
+}
+
+func (Send) command()        {}
+func (ReadObject) command()  {}
+func (WriteObject) command() {}
+
+// ReadOutcome says how a read ended.
+type ReadOutcome uint8
+
+// Outcomes of a read.
+const (
+	ReadFound  ReadOutcome = iota + 1
+	ReadAbsent             // the object does not exist
+	ReadFailed             // no usable reply
+)
+
+// ReadResult is the outcome of a ReadObject.
+type ReadResult struct {
+	ID      ReadID
+	Outcome ReadOutcome
+	Bucket  Bucket // set when Outcome is ReadFound
+}
+
+// WriteOutcome says how a write ended.
+type WriteOutcome uint8
+
+// Outcomes of a write.
+const (
+	WriteMade     WriteOutcome = iota + 1
+	WriteConflict              // another version is stored; the write had no effect
+	WriteUnknown               // the reply was lost; the write may take effect
+)
+
+// WriteResult is the outcome of a WriteObject.
+type WriteResult struct {
+	Key     string
+	Outcome WriteOutcome
+	Version int64 // set when Outcome is WriteMade
+}
+
+// Work tells when work in flight ends.
+type Work interface {
+	// BusyUntil returns when the instance's work in flight on the share must
+	// have ended, by the work's deadlines at the targets.
+	BusyUntil(now clock.Time, service topology.ServiceID, share int) clock.Time
+}
