Add the open-loop load generator

Measurements need a generator whose arrivals do not wait for answers. Arrivals are Poisson from a seed, latency counts from the intended arrival, and requests that fail or exceed the bound on requests in flight count with at least the time after which the generator gives up, so that a stalled tier shows in the percentiles. Refusals have their own distribution, since fast refusals would hide slow answers.

--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,122 @@
+// Package load measures a tier over its caller protocol (docs/design.md section
+// 15.3) with an open-loop generator: arrival times are drawn in advance and do
+// not wait for answers, and latency counts from the intended arrival, so that a
+// stalled tier shows in the percentiles. It talks to loopback only.
+package load
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+)
+
+// Plan describes one run of the generator.
+type Plan struct {
+	Name        string         `json:"name"`
+	Addresses   []string       `json:"addresses"`   // caller endpoints of the instances: loopback IP address and port
+	RatePerSec  float64        `json:"ratePerSec"`  // mean of the Poisson arrivals
+	DurationMS  clock.Duration `json:"durationMs"`  // in which requests arrive and are recorded
+	WarmupMS    clock.Duration `json:"warmupMs"`    // before it, with requests that are not recorded
+	DeadlineMS  clock.Duration `json:"deadlineMs"`  // stated in requests, and bound of goodput; default 250
+	GiveUpMS    clock.Duration `json:"giveUpMs"`    // from the intended arrival until a request counts as failed; default: deadline + 1,000
+	Outstanding int            `json:"outstanding"` // requests in flight; arrivals beyond it fail unsent; default 2,048
+	Limit       int            `json:"limit"`       // hits wanted; default 10
+	BucketMS    clock.Duration `json:"bucketMs"`    // width of the time series; default: a 60th of the duration, at least 100
+	Seed        uint64         `json:"seed"`        // of arrivals, streams, queries and addresses
+	Streams     []Stream       `json:"streams"`     // at least 1
+}
+
+// Stream is the share of one tenant and collection in the load.
+type Stream struct {
+	Tenant     topology.TenantID     `json:"tenant"`
+	Token      string                `json:"token,omitempty"` // bearer token; left out of results
+	Collection topology.CollectionID `json:"collection"`
+	Weight     float64               `json:"weight"`  // share relative to the other streams; over 0
+	Queries    []string              `json:"queries"` // drawn with equal chances; at least 1
+}
+
+// AddressError says that a plan names an address outside loopback.
+type AddressError struct{ Address string }
+
+// Error implements error.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("load: address %q is not a loopback IP address with a port", e.Address)
+}
+
+// PlanError says that a field of a plan is missing or outside its range.
+type PlanError struct {
+	Field string // such as "streams[1].weight"
+}
+
+// Error implements error.
+func (e *PlanError) Error() string { return fmt.Sprintf("load: plan: invalid %s", e.Field) }
+
+// Check returns the first fault of the plan: *AddressError or *PlanError.
+func (p Plan) Check() error {
+	for _, a := range p.Addresses {
+		if err := checkLoopback(a); err != nil {
+			return err
+		}
+	}
+	for _, f := range []struct {
+		field string
+		ok    bool
+	}{
+		{"addresses", len(p.Addresses) > 0},
+		{"ratePerSec", p.RatePerSec > 0},
+		{"durationMs", p.DurationMS > 0},
+		{"warmupMs", p.WarmupMS >= 0},
+		{"deadlineMs", p.DeadlineMS >= 0},
+		{"giveUpMs", p.GiveUpMS == 0 || p.GiveUpMS >= p.DeadlineMS},
+		{"outstanding", p.Outstanding >= 0},
+		{"limit", p.Limit >= 0},
+		{"bucketMs", p.BucketMS >= 0},
+		{"streams", len(p.Streams) > 0},
+	} {
+		if !f.ok {
+			return &PlanError{f.field}
+		}
+	}
+	for i, s := range p.Streams {
+		if s.Weight <= 0 || s.Collection == "" || len(s.Queries) == 0 {
+			return &PlanError{fmt.Sprintf("streams[%d]", i)}
+		}
+	}
+	return nil
+}
+
+func checkLoopback(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || !a.Addr().IsLoopback() || a.Port() == 0 {
+		return &AddressError{address}
+	}
+	return nil
+}
+
+// withDefaults returns p with its zero fields set.
+func (p Plan) withDefaults() Plan {
+	setDefault(&p.DeadlineMS, 250)
+	setDefault(&p.GiveUpMS, p.DeadlineMS+clock.Second)
+	setDefault(&p.Outstanding, 2048)
+	setDefault(&p.Limit, 10)
+	setDefault(&p.BucketMS, max(p.DurationMS/60, 100))
+	return p
+}
+
+func setDefault[T ~int | ~int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// withoutTokens returns p as results may show it.
+func (p Plan) withoutTokens() Plan {
+	p.Streams = slices.Clone(p.Streams)
+	for i := range p.Streams {
+		p.Streams[i].Token = ""
+	}
+	return p
+}
--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,221 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// Result is the outcome of one run.
+type Result struct {
+	Plan          Plan      `json:"plan"` // without tokens
+	StartedUnixMS int64     `json:"startedUnixMs"`
+	ElapsedMS     float64   `json:"elapsedMs"` // recorded part of the run; the plan's duration unless it was stopped
+	Total         Summary   `json:"total"`
+	Streams       []Group   `json:"streams"` // in the order of the plan
+	Series        []Point   `json:"series"`
+	CDF           []float64 `json:"cdf"`   // latency in ms at the fractions 0/1000 to 1000/1000; empty without samples
+	LagMS         Quantiles `json:"lagMs"` // delay of the generator itself; a large one makes the run doubtful
+}
+
+// Summary counts the requests of a run or of a part of it.
+type Summary struct {
+	Offered         int                    `json:"offered"`
+	Answered        int                    `json:"answered"`
+	Complete        int                    `json:"complete"` // answers that cover all shards
+	Wrong           int                    `json:"wrong"`    // answers that the check refused
+	Good            int                    `json:"good"`     // complete and right answers within the deadline
+	GoodPerSec      float64                `json:"goodPerSec"`
+	Refused         int                    `json:"refused"` // errors that promise that nothing ran
+	Failed          int                    `json:"failed"`
+	Refusals        map[string]int         `json:"refusals"`     // by code
+	WithoutRetry    int                    `json:"withoutRetry"` // refusals without a time to retry after
+	Failures        map[Failure]int        `json:"failures"`
+	MissingShards   map[message.Reason]int `json:"missingShards"`   // summed over answers
+	MeanCoverage    float64                `json:"meanCoverage"`    // mean over answers of the share of shards covered
+	MinCoverage     float64                `json:"minCoverage"`     // of the worst answer
+	LatencyMS       Quantiles              `json:"latencyMs"`       // of answers and failures; a failure counts with at least GiveUpMS
+	RefusalMS       Quantiles              `json:"refusalMs"`       // latency of refusals
+	RetryAfterMS    Quantiles              `json:"retryAfterMs"`    // stated by refusals
+	OfferedCoverage float64                `json:"offeredCoverage"` // mean over all requests, where one without an answer covers nothing
+}
+
+// Group is the summary of one stream.
+type Group struct {
+	Tenant     topology.TenantID     `json:"tenant"`
+	Collection topology.CollectionID `json:"collection"`
+	Summary    Summary               `json:"summary"`
+}
+
+// Point is the summary of the requests that arrived within one bucket.
+type Point struct {
+	FromMS  float64 `json:"fromMs"` // after the start of the recorded part
+	WidthMS float64 `json:"widthMs"`
+	Summary Summary `json:"summary"`
+}
+
+// Quantiles describe a distribution in ms. All are 0 when Count is.
+type Quantiles struct {
+	Count int     `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+func newResult(p Plan, start time.Time, elapsed time.Duration, samples []sample) *Result {
+	r := &Result{
+		Plan:          p.withoutTokens(),
+		StartedUnixMS: start.UnixMilli(),
+		ElapsedMS:     inMS(elapsed),
+		Total:         summarize(p, elapsed, samples),
+	}
+	for i, s := range p.Streams {
+		own := filter(samples, func(x sample) bool { return x.stream == i })
+		r.Streams = append(r.Streams, Group{s.Tenant, s.Collection, summarize(p, elapsed, own)})
+	}
+	r.Series = series(p, elapsed, samples)
+	latencies := sorted(samples, sample.timed, func(s sample) float64 { return inMS(s.latency) })
+	for i := 0; i <= 1000 && len(latencies) > 0; i++ {
+		r.CDF = append(r.CDF, stat.Quantile(float64(i)/1000, stat.Empirical, latencies, nil))
+	}
+	r.LagMS = quantiles(sorted(samples, always, func(s sample) float64 { return inMS(s.lag) }))
+	return r
+}
+
+func series(p Plan, elapsed time.Duration, samples []sample) []Point {
+	width := p.BucketMS.Std()
+	buckets := make([][]sample, (elapsed+width-1)/width)
+	for _, s := range samples {
+		if i := int(s.at / width); i < len(buckets) {
+			buckets[i] = append(buckets[i], s)
+		}
+	}
+	points := make([]Point, 0, len(buckets))
+	for i, b := range buckets {
+		from := time.Duration(i) * width
+		w := min(width, elapsed-from)
+		points = append(points, Point{FromMS: inMS(from), WidthMS: inMS(w), Summary: summarize(p, w, b)})
+	}
+	return points
+}
+
+func summarize(p Plan, elapsed time.Duration, samples []sample) Summary {
+	s := Summary{
+		Offered:       len(samples),
+		Refusals:      map[string]int{},
+		Failures:      map[Failure]int{},
+		MissingShards: map[message.Reason]int{},
+		MinCoverage:   1,
+	}
+	coverage := 0.0
+	for _, x := range samples {
+		coverage += s.count(x)
+		if x.good(p.DeadlineMS) {
+			s.Good++
+		}
+	}
+	if s.Answered > 0 {
+		s.MeanCoverage = coverage / float64(s.Answered)
+	} else {
+		s.MinCoverage = 0
+	}
+	if s.Offered > 0 {
+		s.OfferedCoverage = coverage / float64(s.Offered)
+	}
+	if elapsed > 0 {
+		s.GoodPerSec = float64(s.Good) / elapsed.Seconds()
+	}
+	latency := func(x sample) float64 { return inMS(x.latency) }
+	s.LatencyMS = quantiles(sorted(samples, sample.timed, latency))
+	s.RefusalMS = quantiles(sorted(samples, sample.refused, latency))
+	s.RetryAfterMS = quantiles(sorted(samples, sample.refused, func(x sample) float64 {
+		return float64(x.reply.refusal.RetryAfterMS)
+	}))
+	return s
+}
+
+// count adds one request and returns the share of the shards that it got.
+func (s *Summary) count(x sample) float64 {
+	switch {
+	case x.reply.refusal != nil:
+		s.Refused++
+		s.Refusals[x.reply.refusal.Code]++
+		if x.reply.refusal.RetryAfterMS <= 0 {
+			s.WithoutRetry++
+		}
+		return 0
+	case x.reply.answer == nil:
+		s.Failed++
+		s.Failures[x.reply.failure]++
+		return 0
+	}
+	s.Answered++
+	if x.wrong {
+		s.Wrong++
+	}
+	c := x.reply.answer.Coverage
+	for _, m := range c.Missing {
+		s.MissingShards[m.Reason] += len(m.Shards)
+	}
+	if c.Answered == c.Total {
+		s.Complete++
+		return 1
+	}
+	share := float64(c.Answered) / float64(c.Total)
+	s.MinCoverage = min(s.MinCoverage, share)
+	return share
+}
+
+// timed reports whether the sample belongs to the latency distribution.
+// Refusals are kept apart: they are fast, so that they would hide slow answers.
+func (s sample) timed() bool { return s.reply.refusal == nil }
+
+func (s sample) refused() bool { return s.reply.refusal != nil }
+
+func always(sample) bool { return true }
+
+func filter(samples []sample, keep func(sample) bool) []sample {
+	var out []sample
+	for _, s := range samples {
+		if keep(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func sorted(samples []sample, keep func(sample) bool, value func(sample) float64) []float64 {
+	out := make([]float64, 0, len(samples))
+	for _, s := range samples {
+		if keep(s) {
+			out = append(out, value(s))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func quantiles(x []float64) Quantiles {
+	if len(x) == 0 {
+		return Quantiles{}
+	}
+	at := func(p float64) float64 { return stat.Quantile(p, stat.Empirical, x, nil) }
+	return Quantiles{
+		Count: len(x),
+		Mean:  stat.Mean(x, nil),
+		P50:   at(0.5),
+		P90:   at(0.9),
+		P99:   at(0.99),
+		P999:  at(0.999),
+		Max:   x[len(x)-1],
+	}
+}
+
+func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
