Tighten tests of generator and targets, widen the last bucket

A short rest at the end of a run drew as a spike in the time series, so the last bucket now takes it. The stall test also bounds the delay of the generator itself: with a generator that waits for answers, latencies from the intended arrival alone still looked right. A test covers calls from before a crash, whose exclusion from the load of the restarted target no test had noticed.

--- a/emulator/target/target_test.go
+++ b/emulator/target/target_test.go
@@ -18,7 +18,10 @@
 	"knapweedstall/deployment"
 )
 
-const patience = 5 * time.Second // bound of a wait for another goroutine
+const (
+	patience  = 5 * time.Second // bound of a wait for another goroutine
+	endlessMS = 20_000          // service time that outlasts every wait
+)
 
 // testFleet starts dockdesk with two services of two warm servers that answer
 // in 1 ms, unless change says otherwise.
@@ -134,7 +137,7 @@
 		{name: "draining", faults: Faults{Draining: true}, want: StatusDraining},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			f := testFleet(t, func(c *Config) { c.Timing.BaseMS = 60_000 })
+			f := testFleet(t, func(c *Config) { c.Timing.BaseMS = endlessMS })
 			s := f.servers[0]
 			for range tc.held {
 				hold(t, s)
@@ -240,7 +243,7 @@
 		eventually(t, "warm", func() bool { return s.State() == Health{message.TargetWarm, 2} })
 	})
 	t.Run("falls over", func(t *testing.T) {
-		s := testFleet(t, func(c *Config) { cold(c); c.Timing.BaseMS = 60_000 }).servers[0]
+		s := testFleet(t, func(c *Config) { cold(c); c.Timing.BaseMS = endlessMS }).servers[0]
 		first, _ := hold(t, s)
 		if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber")); got.code != 0 {
 			t.Errorf("the call that was too much got %+v", got)
@@ -258,7 +261,7 @@
 
 // Guards against a crash that answers, spares other calls, or comes back warm.
 func TestCrashTextDropsConnections(t *testing.T) {
-	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = 60_000 }).servers[0]
+	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = endlessMS }).servers[0]
 	other, _ := hold(t, s)
 	if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber !crash")); got.code != 0 {
 		t.Errorf("got %+v", got)
@@ -269,6 +272,19 @@
 	eventually(t, "restarted cold", func() bool { return s.State().State == message.TargetCold })
 }
 
+// Guards against a call from before a crash that counts as load on the
+// restarted server, which would show an overload that no client caused.
+func TestCallsFromBeforeACrashDoNotCount(t *testing.T) {
+	s := testFleet(t, nil).servers[0]
+	old := httptest.NewRequest(http.MethodPost, pathSearch, nil)
+	old = old.WithContext(withConn(old.Context(), &conn{life: s.life}))
+	s.Crash()
+	eventually(t, "restarted", func() bool { return s.State().State == message.TargetCold })
+	if a := s.arrive(pathSearch, search(s, "amber"), old); a.outcome != OutcomeDown || running(s) != 0 {
+		t.Errorf("outcome %s with %d running", a.outcome, running(s))
+	}
+}
+
 // Guards against a stop that leaves the port open, and a start elsewhere.
 func TestStopAndStartKeepTheAddress(t *testing.T) {
 	s, client := testFleet(t, nil).servers[0], newClient(t)
@@ -313,7 +329,7 @@
 
 // Guards against work that goes on after its client left or its deadline.
 func TestCancelAndDeadlineFreeTheSlot(t *testing.T) {
-	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = 60_000 }).servers[0]
+	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = endlessMS }).servers[0]
 	_, cancel := hold(t, s)
 	cancel()
 	eventually(t, "cancelled", func() bool { return running(s) == 0 })
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -76,6 +76,9 @@
 	if l := r.Total.LatencyMS; l.P90 < 350 || l.P50 > 200 || l.Max < 500 {
 		t.Errorf("latency %+v", l)
 	}
+	if r.LagMS.P90 > 100 {
+		t.Errorf("the generator waited for answers: lag %+v", r.LagMS)
+	}
 	if r.Total.Offered < 240 || r.Total.Answered != r.Total.Offered {
 		t.Errorf("offered %d, answered %d, want about 300", r.Total.Offered, r.Total.Answered)
 	}
@@ -311,7 +314,7 @@
 // or are no images.
 func TestReports(t *testing.T) {
 	p := stub(t, answer(complete))
-	p.WarmupMS = 100
+	p.WarmupMS, p.DurationMS = 100, 550 // 5 buckets, the last of 150 ms
 	r := run(t, p)
 	inStreams, inSeries := 0, 0
 	for _, g := range r.Streams {
@@ -323,6 +326,9 @@
 	if inStreams != r.Total.Offered || inSeries != r.Total.Offered || len(r.Series) != 5 {
 		t.Errorf("offered %d, in streams %d, in %d points %d", r.Total.Offered, inStreams, len(r.Series), inSeries)
 	}
+	if last := r.Series[len(r.Series)-1]; last.FromMS+last.WidthMS != 550 {
+		t.Errorf("series ends at %v ms, want 550", last.FromMS+last.WidthMS)
+	}
 	out, err := json.Marshal(r)
 	if err != nil || bytes.Contains(out, []byte("secret-token")) {
 		t.Errorf("error %v in %s", err, out)
--- a/load/plot.go
+++ b/load/plot.go
@@ -19,6 +19,9 @@
 	plotHeight = 12 * vg.Centimeter
 )
 
+// legendRoom leaves space for the legend above the highest point.
+const legendRoom = 1.25
+
 // minPlotMS is the shortest latency drawn, since a logarithmic axis has no zero.
 const minPlotMS = 0.01
 
@@ -88,7 +91,12 @@
 	of   func(Point) (float64, bool)
 }
 
-func rate(p Point, n int) float64 { return float64(n) * 1000 / p.WidthMS }
+func rate(p Point, n int) float64 {
+	if p.WidthMS <= 0 {
+		return 0
+	}
+	return float64(n) * 1000 / p.WidthMS
+}
 
 func seriesPlot(r *Result, title, label string, curves []curve) (*plot.Plot, error) {
 	p := plot.New()
@@ -109,6 +117,7 @@
 			return nil, err
 		}
 	}
+	p.Y.Max *= legendRoom
 	return p, nil
 }
 
--- a/load/result.go
+++ b/load/result.go
@@ -89,19 +89,22 @@
 	return r
 }
 
+// series splits the run into buckets. The last one also takes a rest shorter
+// than a bucket, whose few requests would draw as a spike.
 func series(p Plan, elapsed time.Duration, samples []sample) []Point {
 	width := p.BucketMS.Std()
-	buckets := make([][]sample, (elapsed+width-1)/width)
+	buckets := make([][]sample, max(elapsed/width, 1))
 	for _, s := range samples {
-		if i := int(s.at / width); i < len(buckets) {
-			buckets[i] = append(buckets[i], s)
-		}
+		i := min(int(s.at/width), len(buckets)-1)
+		buckets[i] = append(buckets[i], s)
 	}
 	points := make([]Point, 0, len(buckets))
 	for i, b := range buckets {
-		from := time.Duration(i) * width
-		w := min(width, elapsed-from)
-		points = append(points, Point{FromMS: inMS(from), WidthMS: inMS(w), Summary: summarize(p, w, b)})
+		from, to := time.Duration(i)*width, time.Duration(i+1)*width
+		if i == len(buckets)-1 {
+			to = elapsed
+		}
+		points = append(points, Point{FromMS: inMS(from), WidthMS: inMS(to - from), Summary: summarize(p, to-from, b)})
 	}
 	return points
 }
