Let the stateful test of dispatch repeat runs

The steady load of the test sent searches only, so a run was rarely lost while a token for a retry was left, and a trial that retried lost runs passed 100 checks.

--- a/core/dispatch/oracle_test.go
+++ b/core/dispatch/oracle_test.go
@@ -19,7 +19,7 @@
 // TestMain fixes the seed. Longer runs: go test -rapid.checks=5000 -rapid.seed=7.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.steps": "150", "rapid.nofailfile": "true"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			_ = flag.Set(name, value)
 		}
@@ -430,7 +430,7 @@
 		},
 		"steady": func(t *rapid.T) { // earns tokens and latencies for hedges
 			for range rapid.IntRange(1, 80).Draw(t, "count") {
-				submit(message.KindSearch)
+				submit([]message.Kind{message.KindSearch, message.KindRun}[w.rnd.IntN(6)/5])
 				w.advance(8)
 			}
 		},
