--- /dev/null
+++ b/core/query/query_test.go
@@ -0,0 +1,170 @@
+package query_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/query"
+	"knapweedstall/core/topology"
+)
+
+// fleet returns a snapshot of n services with one shard each, and its router.
+func fleet(n int, snapshots ...topology.SnapshotID) ([]topology.Snapshot, holders) {
+	h := holders{pairs: make(map[topology.ServiceID][2]topology.InstanceRef)}
+	shards := make(map[topology.ServiceID][]topology.ShardID)
+	for i := range n {
+		s := topology.ServiceID(fmt.Sprintf("s%03d", i))
+		shards[s] = []topology.ShardID{topology.ShardID(fmt.Sprintf("p%03d", i))}
+		h.pairs[s] = [2]topology.InstanceRef{ref(i % 15), ref((i + 7) % 15)}
+	}
+	var all []topology.Snapshot
+	for _, id := range snapshots {
+		all = append(all, topology.Snapshot{ID: id, Shards: shards})
+	}
+	return all, h
+}
+
+// Guards against refusals that are untrue, endless or without a retry-after,
+// for queries that cannot even start.
+func TestQueryThatCannotStart(t *testing.T) {
+	snapshots, router := fleet(2, "v1")
+	tests := []struct {
+		name      string
+		snapshots []topology.Snapshot
+		router    query.Router
+		deadline  clock.Time
+		outcome   query.Outcome
+		reason    message.Reason
+	}{
+		{"no snapshot", nil, router, 100, query.OutcomeNotRun, ""},
+		{"past deadline", snapshots, router, 1, query.OutcomeNotRun, message.ReasonDeadline},
+		{"no holder", snapshots, holders{}, 100, query.OutcomeNotRun, message.ReasonNoHolder},
+		{"empty map", []topology.Snapshot{{ID: "v1"}}, router, 100, query.OutcomeAnswered, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := query.New(message.RequestID{}, query.Request{Deadline: tt.deadline}, tt.snapshots, tt.router)
+			cmds := q.Start(1)
+			if len(cmds) != 1 || q.NextWake() != 0 || len(q.Start(2)) != 0 {
+				t.Fatalf("commands %+v, want only an answer", cmds)
+			}
+			a := cmds[0].(query.Finish).Answer
+			if a.Outcome != tt.outcome || (a.RetryAfter > 0) != (tt.outcome == query.OutcomeNotRun) {
+				t.Errorf("outcome %s with retry-after %d, want %s", a.Outcome, a.RetryAfter, tt.outcome)
+			}
+			if tt.reason != "" && (len(a.Coverage.Missing) != 1 || a.Coverage.Missing[0].Reason != tt.reason) {
+				t.Errorf("missing %+v, want reason %s", a.Coverage.Missing, tt.reason)
+			}
+		})
+	}
+}
+
+// Guards against using a canary's answer that is stamped for another tenant, and
+// against a restart whose first attempts look like second ones.
+func TestCanaryStampsAndAttemptNumbers(t *testing.T) {
+	snapshots, router := fleet(3, "v2", "v1")
+	q := query.New(message.RequestID{}, query.Request{Tenant: "t", Deadline: 100}, snapshots, router,
+		query.WithKnownGood(good{"v1": true}))
+	canary := q.Start(1)[0].(query.RunCanary).Sub
+	v := query.CanaryVerdict{ID: canary.ID, Outcome: query.CanaryReplied, Reply: message.SubReply{
+		ID: canary.ID, Tenant: "other", Snapshot: "v2", Status: message.StatusOK}}
+	if cmds := q.CanaryDone(2, v); len(cmds) != 0 || q.Drops().Tenant != 1 {
+		t.Fatalf("verdict for another tenant gave %+v, drops %+v", cmds, q.Drops())
+	}
+	v.Reply.Tenant, v.Reply.Status = "t", message.StatusSnapshotGone
+	cmds := q.CanaryDone(3, v)
+	if len(cmds) != 3 {
+		t.Fatalf("restart gave %+v, want 3 sub-requests", cmds)
+	}
+	for _, c := range cmds {
+		if id := c.(query.SendSub).Sub.ID; id.Attempt != query.AttemptsPerRestart {
+			t.Errorf("attempt %d after the restart, want %d", id.Attempt, query.AttemptsPerRestart)
+		}
+	}
+}
+
+// Guards against second attempts that are sent much more or much less often
+// than 1 in 100, which would eat the retry budget or leave stragglers.
+func TestDelayTrackerFindsQuantile(t *testing.T) {
+	tracker, rng, late := query.NewDelayTracker(), rand.New(rand.NewPCG(1, 2)), 0
+	const n = 50000
+	for i := range n {
+		d := clock.Duration(5 + rng.ExpFloat64()*10)
+		if limit, ok := tracker.FailoverAfter("s"); i > n/2 && ok && d > limit {
+			late++
+		}
+		tracker.Observe("s", d)
+	}
+	if share := float64(late) / (n / 2); share < 0.005 || share > 0.02 {
+		t.Errorf("%.4f of the replies are overdue, want about 0.01", share)
+	}
+}
+
+// answers returns one reply for each sub-request with 10 hits.
+func answers(cmds []query.Command) (from []topology.InstanceRef, replies []message.SubReply) {
+	for _, c := range cmds {
+		s := c.(query.SendSub)
+		r := message.SubReply{ID: s.Sub.ID, Tenant: s.Sub.Tenant, Snapshot: s.Sub.Snapshot, Status: message.StatusOK}
+		for _, sh := range s.Sub.Shards {
+			a := message.ShardAnswer{Shard: sh}
+			for k := range 10 {
+				id := fmt.Sprintf("%s-%d", sh, k)
+				a.Hits = append(a.Hits, message.Hit{ID: id, Score: float64(topology.Hash64(id)%1000) - float64(k)*1000})
+			}
+			r.Shards = append(r.Shards, a)
+		}
+		from, replies = append(from, s.To), append(replies, r)
+	}
+	return from, replies
+}
+
+func BenchmarkQuery(b *testing.B) {
+	for _, n := range []int{20, 200, 750} {
+		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
+			snapshots, router := fleet(n, "v1")
+			start := func() (*query.Query, []query.Command) {
+				q := query.New(message.RequestID{}, query.Request{Limit: 10, Deadline: 55}, snapshots, router,
+					query.WithKnownGood(good{"v1": true}), query.WithDelays(query.NewDelayTracker()))
+				return q, q.Start(1)
+			}
+			_, cmds := start()
+			from, replies := answers(cmds)
+			b.ReportAllocs()
+			for b.Loop() {
+				q, _ := start()
+				for i, r := range replies {
+					q.NextWake()
+					q.Replied(2, from[i], r)
+				}
+				if !q.Done() {
+					b.Fatal("not finished")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/sub-answer")
+		})
+	}
+}
+
+// BenchmarkReplied measures only the merging of one sub-answer with 10 hits.
+func BenchmarkReplied(b *testing.B) {
+	snapshots, router := fleet(750, "v1")
+	var q *query.Query
+	var from []topology.InstanceRef
+	var replies []message.SubReply
+	i := 0
+	for b.Loop() {
+		if i == len(replies) {
+			b.StopTimer()
+			q = query.New(message.RequestID{}, query.Request{Limit: 10, Deadline: 55}, snapshots, router,
+				query.WithKnownGood(good{"v1": true}))
+			from, replies = answers(q.Start(1))
+			i = 0
+			b.StartTimer()
+		}
+		q.Replied(2, from[i], replies[i])
+		i++
+	}
+}
