--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,156 @@
+package admission_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"knapweedstall/core/admission"
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+)
+
+// seeds is raised for longer runs: go test ./core/admission -args -seeds=20
+var seeds = flag.Uint64("seeds", 2, "simulation runs for each load")
+
+func newController() *admission.Controller { return admission.New() }
+
+// goodput returns complete answers in time per second of one tenant that offers
+// load times the capacity, and the mean queueing delay in ms.
+func goodput(load float64, f func() *admission.Controller) (good, wait float64) {
+	for seed := range *seeds {
+		s := simulate(seed, map[topology.TenantID]float64{"t0": load}, f)
+		good += s.good["t0"] / float64(*seeds)
+		wait += s.wait / s.started / float64(*seeds)
+	}
+	return good, wait
+}
+
+// Guards against goodput that collapses under overload, by refusals in the back
+// end or by an entry that admits too little. The bound is the stated target: at
+// twice the capacity at most 5 % less than at capacity, with or without
+// admission there.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	with := make(map[float64]float64)
+	atCapacity := 0.0
+	for _, load := range []float64{0.8, 1, 1.5, 2, 3} {
+		none, noneWait := goodput(load, nil)
+		good, wait := goodput(load, newController)
+		with[load] = good
+		if load == 1 {
+			atCapacity = max(none, good)
+		}
+		t.Logf("offered %.1f of %.0f/s: without admission %.0f/s (queueing %.0f ms), with %.0f/s (%.0f ms)",
+			load, simCapacity*1000, none, noneWait, good, wait)
+	}
+	if with[2] < 0.95*atCapacity {
+		t.Errorf("goodput at twice the capacity is %.0f/s, want at least 95 %% of %.0f/s", with[2], atCapacity)
+	}
+}
+
+// Guards against a tenant that takes from others by offering 10 times its share.
+func TestHeavyTenantLeavesOthersAlone(t *testing.T) {
+	const share = 0.2 // five tenants
+	served := func(load, heavy float64) float64 {
+		good, offered := 0.0, 0.0
+		for seed := range *seeds {
+			s := simulate(seed, map[topology.TenantID]float64{"t0": heavy, "t1": load, "t2": load, "t3": load, "t4": load}, newController)
+			for i := 1; i < 5; i++ {
+				id := topology.TenantID(fmt.Sprintf("t%d", i))
+				good += s.good[id]
+				offered += s.offered[id]
+			}
+		}
+		return good / offered
+	}
+	for _, load := range []float64{0.6 * share, 0.8 * share, share} {
+		before, after := served(load, load), served(load, 10*share)
+		t.Logf("others offer %.2f of the capacity each: %.3f served, %.3f beside the heavy tenant", load, before, after)
+		if after < 0.95*before {
+			t.Errorf("others are served %.3f of %.2f beside a heavy tenant, want at least 95 %% of %.3f", after, load, before)
+		}
+	}
+}
+
+// limit drives a controller into a rate limit by showing it a standing queue.
+func limit(c *admission.Controller) clock.Time {
+	now := clock.Time(1)
+	for ; now < 1000; now++ {
+		c.Admit(now, "light")
+		c.Observe(now, "s", 0, 1000)
+	}
+	for ; now < 1400; now++ {
+		c.Admit(now, "heavy")
+		c.Observe(now, "s", 150, 1000)
+	}
+	return now
+}
+
+// Guards against limits without queueing, and against a retry-after at which
+// the query is refused again.
+func TestRefusalsAreHonest(t *testing.T) {
+	c := admission.New()
+	if _, limited := c.Rate(); limited {
+		t.Fatal("limited before any queueing was seen")
+	}
+	now := limit(c)
+	if _, limited := c.Rate(); !limited {
+		t.Fatal("not limited although the queueing delay is over the goal")
+	}
+	var waits []clock.Duration
+	for len(waits) < 3 {
+		if after, ok := c.Admit(now, "heavy"); !ok {
+			waits = append(waits, after)
+		}
+	}
+	for i, after := range waits {
+		if i > 0 && after < waits[i-1] {
+			t.Errorf("retry-after %d follows %d", after, waits[i-1])
+		}
+		if _, ok := c.Admit(now.Add(after), "heavy"); !ok {
+			t.Errorf("refused after the stated %d ms", after)
+		}
+	}
+}
+
+// Guards against shares that ignore the weights.
+func TestSharesFollowWeights(t *testing.T) {
+	c := admission.New(admission.WithWeights(func(id topology.TenantID) float64 {
+		return map[topology.TenantID]float64{"heavy": 3}[id] + 1
+	}))
+	now := limit(c)
+	count := make(map[topology.TenantID]float64)
+	for end := now.Add(20 * clock.Second); now < end; now++ {
+		for _, id := range []topology.TenantID{"heavy", "light"} {
+			if _, ok := c.Admit(now, id); ok {
+				count[id]++
+			}
+		}
+	}
+	if ratio := count["heavy"] / count["light"]; ratio < 3.8 || ratio > 4.2 {
+		t.Errorf("admitted %v, want 4 to 1", count)
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("tenants=%d", n), func(b *testing.B) {
+			c := admission.New()
+			now := limit(c)
+			ids := make([]topology.TenantID, n)
+			for i := range ids {
+				ids[i] = topology.TenantID(fmt.Sprintf("t%d", i))
+			}
+			for i := 0; b.Loop(); i++ {
+				c.Admit(now.Add(clock.Duration(i/10)), ids[i%n]) // 10,000 decisions/s
+			}
+		})
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	c := admission.New()
+	for i := 0; b.Loop(); i++ {
+		c.Observe(clock.Time(1+i/100), "s", 3, 100)
+	}
+}
--- /dev/null
+++ b/core/admission/simulation_test.go
@@ -0,0 +1,210 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"knapweedstall/core/admission"
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+)
+
+// Shape of the simulated deployment. A query has the deadline simDeadline and
+// needs all services; a service has simHolders holders with simSlots slots each.
+// A call takes 5 ms plus an exponential time of mean 5 ms, one hop 1 ms.
+const (
+	simEntries  = 15
+	simServices = 20
+	simHolders  = 2
+	simSlots    = 2
+	simCall     = 10.0 // ms, mean
+	simDeadline = 200.0
+	simHop      = 1.0
+	simWarmup   = 5000.0
+	simEnd      = 15000.0
+	simCapacity = simHolders * simSlots / simCall // queries per ms
+)
+
+// simulation is a discrete-event model of entries and holders. Times are in ms.
+type simulation struct {
+	now      float64
+	events   events
+	order    int
+	rng      *rand.Rand
+	entries  []*admission.Controller // nil without admission
+	services [simServices][simHolders]*simHolder
+	good     map[topology.TenantID]float64 // complete answers in time per s
+	offered  map[topology.TenantID]float64 // queries per s
+	wait     float64                       // sum of queueing delays
+	started  float64
+}
+
+type event struct {
+	at    float64
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+func (s *simulation) after(d float64, do func()) {
+	s.order++
+	heap.Push(&s.events, event{s.now + d, s.order, do})
+}
+
+// simQuery is one query. All holders drop the lowest rank first; assured
+// queries have a higher rank than others.
+type simQuery struct {
+	entry    int
+	tenant   topology.TenantID
+	at       float64
+	rank     uint64
+	left     int
+	complete bool
+}
+
+type simSub struct {
+	q  *simQuery
+	at float64
+}
+
+// simHolder queues in order of arrival, which is the order of deadlines here.
+// When the last of the queue cannot finish in time it drops the lowest rank.
+type simHolder struct {
+	queue   []simSub
+	busy    int
+	service topology.ServiceID
+	told    [simEntries]float64 // load as each entry last heard it, in ms
+	wait    float64             // queueing delay of the newest started one
+}
+
+func (s *simulation) arrive(h *simHolder, q *simQuery) {
+	h.queue = append(h.queue, simSub{q, s.now})
+	s.dispatch(h)
+	if n := len(h.queue); n > 0 && s.now+float64(n)/simSlots*simCall+simCall > q.at+simDeadline-simHop {
+		low := 0
+		for i := range h.queue {
+			if h.queue[i].q.rank < h.queue[low].q.rank {
+				low = i
+			}
+		}
+		dropped := h.queue[low]
+		h.queue = append(h.queue[:low], h.queue[low+1:]...)
+		s.reply(h, dropped.q, false, max(h.wait, s.now-dropped.at))
+	}
+}
+
+func (s *simulation) dispatch(h *simHolder) {
+	for h.busy < simSlots && len(h.queue) > 0 {
+		sub := h.queue[0]
+		h.queue = h.queue[1:]
+		wait := s.now - sub.at
+		h.wait = wait
+		s.wait += wait
+		s.started++
+		if s.now+simCall > sub.q.at+simDeadline {
+			s.reply(h, sub.q, false, wait)
+			continue
+		}
+		h.busy++
+		s.after(simCall/2+s.rng.ExpFloat64()*simCall/2, func() {
+			h.busy--
+			s.reply(h, sub.q, true, wait)
+			s.dispatch(h)
+		})
+	}
+}
+
+// reply reaches the entry one hop later.
+func (s *simulation) reply(h *simHolder, q *simQuery, ok bool, wait float64) {
+	load := float64(len(h.queue)+h.busy) * simCall
+	s.after(simHop, func() {
+		h.told[q.entry] = load
+		if c := s.entries[q.entry]; c != nil {
+			c.Observe(clock.Time(s.now), h.service, clock.Duration(wait), clock.Duration(simDeadline))
+		}
+		q.complete = q.complete && ok
+		q.left--
+		if q.left == 0 && q.complete && s.now <= q.at+simDeadline && s.measured() {
+			s.good[q.tenant] += 1000 / (simEnd - simWarmup)
+		}
+	})
+}
+
+func (s *simulation) measured() bool { return s.now >= simWarmup }
+
+// route picks the holder that last reported less load to the entry.
+func (s *simulation) route(entry, service int) *simHolder {
+	pick := s.rng.IntN(simHolders)
+	for k, h := range s.services[service] {
+		if h.told[entry] < s.services[service][pick].told[entry] {
+			pick = k
+		}
+	}
+	return s.services[service][pick]
+}
+
+// offer makes a tenant send queries with Poisson arrivals to random entries.
+func (s *simulation) offer(tenant topology.TenantID, perMS float64) {
+	s.after(s.rng.ExpFloat64()/perMS, func() {
+		s.offer(tenant, perMS)
+		q := &simQuery{s.rng.IntN(simEntries), tenant, s.now, s.rng.Uint64() >> 1, simServices, true}
+		if s.measured() {
+			s.offered[tenant] += 1000 / (simEnd - simWarmup)
+		}
+		if c := s.entries[q.entry]; c != nil {
+			d := c.Decide(clock.Time(s.now), tenant)
+			if !d.Admitted {
+				return
+			}
+			if d.Assured {
+				q.rank |= 1 << 63
+			}
+		}
+		for i := range s.services {
+			h := s.route(q.entry, i)
+			s.after(simHop, func() { s.arrive(h, q) })
+		}
+	})
+}
+
+// simulate runs tenants that offer the given multiples of the capacity. A nil
+// newController means no admission.
+func simulate(seed uint64, offered map[topology.TenantID]float64, newController func() *admission.Controller) *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), entries: make([]*admission.Controller, simEntries)}
+	s.good, s.offered = make(map[topology.TenantID]float64), make(map[topology.TenantID]float64)
+	for i := range s.entries {
+		if newController != nil {
+			s.entries[i] = newController()
+		}
+	}
+	for i := range s.services {
+		for k := range s.services[i] {
+			s.services[i][k] = &simHolder{service: topology.ServiceID(fmt.Sprint(i))}
+		}
+	}
+	for i := range len(offered) {
+		tenant := topology.TenantID(fmt.Sprintf("t%d", i))
+		s.offer(tenant, offered[tenant]*simCapacity)
+	}
+	s.now = 1
+	for len(s.events) > 0 && s.events[0].at < simEnd {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	return s
+}
