--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -27,12 +27,10 @@
 	limited  bool       // whether queueing has been seen yet
 	rate     float64    // queries admitted per ms; used when limited
 	step     float64    // what one interval adds to the rate
-	lowered  clock.Time // when the rate was last lowered
 	started  clock.Time // start of the interval
 	admitted int        // in the interval
 	refused  int        // in the interval
 	observed int        // replies counted in the interval
-	stale    int        // replies of the interval that were queued before the rate was lowered
 	smoothed float64    // admitted queries per ms, smoothed over intervals
 }
 
@@ -52,50 +50,27 @@
 	return c
 }
 
-// Decision is the answer to one query.
-type Decision struct {
-	Admitted bool
-	// Assured says that an admitted query is within its tenant's own share.
-	// Holders should drop other queries first, so that a tenant that offers more
-	// than its share loses its own queries and not those of others.
-	Assured bool
-	// RetryAfter, for a query that is not admitted, is when the tenant's share of
-	// the rate allows one more query after those that it has already been refused.
-	RetryAfter clock.Duration // at least 1 ms
-}
-
-// Admit reports whether a tenant's query may start now, and if not, when to try
-// again. It is Decide without the distinction of shares.
+// Admit reports whether a tenant's query may start now. If not, retryAfter is
+// when the tenant's share of the rate allows one more query after those that it
+// has already been refused, at least 1 ms.
 func (c *Controller) Admit(now clock.Time, tenant topology.TenantID) (retryAfter clock.Duration, ok bool) {
-	d := c.Decide(now, tenant)
-	return d.RetryAfter, d.Admitted
-}
-
-// Decide admits or refuses a tenant's query.
-func (c *Controller) Decide(now clock.Time, tenant topology.TenantID) Decision {
 	c.roll(now)
 	if !c.limited {
 		c.admitted++
-		return Decision{Admitted: true, Assured: true}
+		return 0, true
 	}
-	if ok, assured := c.tenants.take(now, tenant, c.rate, c.opts.burst); ok {
+	if c.tenants.take(now, tenant, c.rate, c.opts.burst) {
 		c.admitted++
-		return Decision{Admitted: true, Assured: assured}
+		return 0, true
 	}
 	c.refused++
-	return Decision{RetryAfter: c.tenants.retryAfter(now, tenant, c.rate, c.opts.maxRetryAfter)}
+	return c.tenants.retryAfter(now, tenant, c.rate, c.opts.maxRetryAfter), false
 }
 
 // Observe takes the queueing delay of a service's reply and the whole time that
-// its query had to its deadline. What was queued before the rate was last
-// lowered says nothing about the present rate; it only keeps the rate from
-// growing until that queue has drained.
+// its query had to its deadline.
 func (c *Controller) Observe(now clock.Time, service topology.ServiceID, queueDelay, budget clock.Duration) {
 	c.roll(now)
-	if now.Add(-queueDelay) < c.lowered {
-		c.stale++
-		return
-	}
 	delay := float64(queueDelay) / (float64(max(budget, 1)) * c.opts.goal)
 	d, seen := c.services[service]
 	if !seen || delay < d.least {
@@ -126,20 +101,20 @@
 		c.smoothed = admitted
 	}
 	c.smoothed += (admitted - c.smoothed) * smoothing
-	c.adjust(now)
+	c.adjust()
 	c.started = now
-	c.admitted, c.refused, c.observed, c.stale = 0, 0, 0, 0
+	c.admitted, c.refused, c.observed = 0, 0, 0
 }
 
 // adjust changes the rate by what the interval has shown. A rate that nobody
 // uses up is not raised, since its growth would be untested, and neither is one
 // without replies.
-func (c *Controller) adjust(now clock.Time) {
+func (c *Controller) adjust() {
 	queue := c.standingQueue()
 	switch {
 	case queue > 1:
-		c.lower(now, queue)
-	case c.limited && c.refused > 0 && c.observed > 0 && c.stale == 0:
+		c.lower(queue)
+	case c.limited && c.refused > 0 && c.observed > 0:
 		c.rate += c.step
 	}
 }
@@ -161,7 +136,7 @@
 
 // lower reduces the rate, the more the longer the queue. It starts from what was
 // really admitted, which is less than the rate while tenants save tokens.
-func (c *Controller) lower(now clock.Time, queue float64) {
+func (c *Controller) lower(queue float64) {
 	if !c.limited {
 		c.limited = true
 		c.rate = c.smoothed
@@ -169,6 +144,5 @@
 	}
 	c.rate = min(c.rate, c.smoothed)
 	c.rate = max(c.rate*max(math.Pow(c.opts.decrease, queue), minFactor), minRate)
-	c.lowered = now
 	clear(c.services)
 }
--- a/core/admission/simulation_test.go
+++ b/core/admission/simulation_test.go
@@ -65,8 +65,7 @@
 	heap.Push(&s.events, event{s.now + d, s.order, do})
 }
 
-// simQuery is one query. All holders drop the lowest rank first; assured
-// queries have a higher rank than others.
+// simQuery is one query. All holders drop the lowest rank first.
 type simQuery struct {
 	entry    int
 	tenant   topology.TenantID
@@ -161,18 +160,14 @@
 func (s *simulation) offer(tenant topology.TenantID, perMS float64) {
 	s.after(s.rng.ExpFloat64()/perMS, func() {
 		s.offer(tenant, perMS)
-		q := &simQuery{s.rng.IntN(simEntries), tenant, s.now, s.rng.Uint64() >> 1, simServices, true}
+		q := &simQuery{s.rng.IntN(simEntries), tenant, s.now, s.rng.Uint64(), simServices, true}
 		if s.measured() {
 			s.offered[tenant] += 1000 / (simEnd - simWarmup)
 		}
 		if c := s.entries[q.entry]; c != nil {
-			d := c.Decide(clock.Time(s.now), tenant)
-			if !d.Admitted {
+			if _, ok := c.Admit(clock.Time(s.now), tenant); !ok {
 				return
 			}
-			if d.Assured {
-				q.rank |= 1 << 63
-			}
 		}
 		for i := range s.services {
 			h := s.route(q.entry, i)
--- a/core/admission/tenants.go
+++ b/core/admission/tenants.go
@@ -16,75 +16,65 @@
 	// minTokens lets a tenant send a few queries at once even at an entry that
 	// admits only a few in a second.
 	minTokens = 2.0
-	// saving is for how long a tenant among many others saves unused tokens. It
-	// bridges the times at which the rate was just lowered. A tenant that has the
-	// rate for itself saves less, since its bursts would be those of the whole rate.
-	saving = 3 * clock.Second
 	// negligible is an amount of tokens that is not worth spreading.
 	negligible = 1e-9
 )
 
-// tenants shares a rate by max-min fairness. Every tenant earns its weight's
-// part of the rate as assured tokens. What a tenant with a full account cannot
-// take becomes spare tokens of the tenants that have used up theirs. A tenant
-// that asks for less than its part therefore finds tokens, and those that ask
-// for more share the rest by weight, without any estimate of demand.
+// tenants shares a rate by max-min fairness. Every tenant's bucket earns its
+// weight's part of the rate, and what a full bucket cannot take goes to the
+// others. A tenant that asks for less than its part therefore finds tokens, and
+// those that ask for more share the rest by weight, without any estimate of
+// demand.
 type tenants struct {
 	weight   func(topology.TenantID) float64
-	list     []*account // ascending by id, so that sums do not depend on map order
-	weights  float64    // sum over list
+	list     []*bucket // ascending by id, so that sums do not depend on map order
+	weights  float64   // sum over list
 	refilled clock.Time
 }
 
-// account is what one tenant may spend.
-type account struct {
+// bucket is one tenant's account.
+type bucket struct {
 	id      topology.TenantID
 	weight  float64
-	assured float64 // tokens of its own share
-	spare   float64 // tokens that others left
+	tokens  float64
 	promise float64 // ms; the last retry time that was given out
 	asked   clock.Time
 }
 
 // take uses one token of the tenant if it has one.
-func (t *tenants) take(now clock.Time, id topology.TenantID, rate float64, burst clock.Duration) (ok, assured bool) {
-	a := t.find(now, id)
-	a.asked = now
+func (t *tenants) take(now clock.Time, id topology.TenantID, rate float64, burst clock.Duration) bool {
+	b := t.find(now, id)
+	b.asked = now
 	if now > t.refilled {
 		t.forgetIdle(now)
-		t.refill(rate*float64(now.Sub(t.refilled)), rate, burst)
+		t.refill(rate*float64(now.Sub(t.refilled)), max(rate*float64(burst), minTokens))
 		t.refilled = now
 	}
-	switch {
-	case a.assured >= 1:
-		a.assured--
-		return true, true
-	case a.assured+a.spare >= 1:
-		a.spare -= 1 - a.assured
-		a.assured = 0
-		return true, false
+	if b.tokens < 1 {
+		return false
 	}
-	return false, false
+	b.tokens--
+	return true
 }
 
 // retryAfter promises the tenant its next token that is not promised yet. It
 // counts on the tenant's weighted part of the rate alone, which the tenant earns
 // whatever the others do.
 func (t *tenants) retryAfter(now clock.Time, id topology.TenantID, rate float64, most clock.Duration) clock.Duration {
-	a := t.find(now, id)
-	perToken := t.weights / (rate * a.weight) // ms
-	first := float64(now) + (1-a.assured-a.spare)*perToken
-	a.promise = min(max(first, a.promise+perToken), float64(now.Add(most)))
-	return max(clock.Duration(math.Ceil(a.promise))-clock.Duration(now), clock.Millisecond)
+	b := t.find(now, id)
+	perToken := t.weights / (rate * b.weight) // ms
+	first := float64(now) + (1-b.tokens)*perToken
+	b.promise = min(max(first, b.promise+perToken), float64(now.Add(most)))
+	return max(clock.Duration(math.Ceil(b.promise))-clock.Duration(now), clock.Millisecond)
 }
 
-// find returns the tenant's account. A new one starts with a single token.
-func (t *tenants) find(now clock.Time, id topology.TenantID) *account {
-	i, found := slices.BinarySearchFunc(t.list, id, func(a *account, id topology.TenantID) int {
-		return cmp.Compare(a.id, id)
+// find returns the tenant's bucket. A new one starts with a single token.
+func (t *tenants) find(now clock.Time, id topology.TenantID) *bucket {
+	i, found := slices.BinarySearchFunc(t.list, id, func(b *bucket, id topology.TenantID) int {
+		return cmp.Compare(b.id, id)
 	})
 	if !found {
-		t.list = slices.Insert(t.list, i, &account{id: id, weight: t.weight(id), assured: 1, asked: now})
+		t.list = slices.Insert(t.list, i, &bucket{id: id, weight: t.weight(id), tokens: 1, asked: now})
 		t.sum()
 	}
 	return t.list[i]
@@ -92,7 +82,7 @@
 
 func (t *tenants) forgetIdle(now clock.Time) {
 	n := len(t.list)
-	t.list = slices.DeleteFunc(t.list, func(a *account) bool { return now.Sub(a.asked) > idleTerm })
+	t.list = slices.DeleteFunc(t.list, func(b *bucket) bool { return now.Sub(b.asked) > idleTerm })
 	if len(t.list) != n {
 		t.sum()
 	}
@@ -100,42 +90,33 @@
 
 func (t *tenants) sum() {
 	t.weights = 0
-	for _, a := range t.list {
-		t.weights += a.weight
+	for _, b := range t.list {
+		t.weights += b.weight
 	}
 }
 
-// refill pays out earned tokens.
-func (t *tenants) refill(earned, rate float64, burst clock.Duration) {
-	rest := 0.0
-	for _, a := range t.list {
-		share := a.weight / t.weights
-		a.assured += earned * share
-		size := max(rate*share*(float64(burst)+float64(saving)*(1-share)), minTokens)
-		rest += max(0, a.assured-size)
-		a.assured = min(a.assured, size)
-	}
-	size := max(rate*float64(burst), minTokens)
-	for rest > negligible {
-		rest = t.spread(rest, size)
+// refill spreads earned tokens over the buckets, which hold size tokens each.
+func (t *tenants) refill(earned, size float64) {
+	for earned > negligible {
+		earned = t.spread(earned, size)
 	}
 }
 
-// spread gives spare tokens by weight to the accounts that are not full and
-// returns what is left over because an account became full.
+// spread gives tokens by weight to the buckets that are not full and returns
+// what is left over because a bucket became full.
 func (t *tenants) spread(tokens, size float64) (left float64) {
 	open := 0.0
-	for _, a := range t.list {
-		a.spare = min(a.spare, size)
-		if a.spare < size {
-			open += a.weight
+	for _, b := range t.list {
+		b.tokens = min(b.tokens, size)
+		if b.tokens < size {
+			open += b.weight
 		}
 	}
-	for _, a := range t.list {
-		if a.spare < size {
-			a.spare += tokens * a.weight / open
-			left += max(0, a.spare-size)
-			a.spare = min(a.spare, size)
+	for _, b := range t.list {
+		if b.tokens < size {
+			b.tokens += tokens * b.weight / open
+			left += max(0, b.tokens-size)
+			b.tokens = min(b.tokens, size)
 		}
 	}
 	return left
