Add a trace format with recorder, reader and replay

A trace is JSON lines: a header, one line for each input with its time and the commands that followed, and a last line that says whether it is complete. The recorder and replay are generic over machines and find types by registered names; they keep one line in memory and bound its length and the whole trace. Queries register their inputs and commands.

--- a/core/query/command.go
+++ b/core/query/command.go
@@ -13,31 +13,31 @@
 
 // SendSub sends a sub-request to a holder.
 type SendSub struct {
-	To  topology.InstanceRef
-	Sub message.SubRequest
+	To  topology.InstanceRef `json:"to"`
+	Sub message.SubRequest   `json:"sub"`
 }
 
 // CancelSub tells a holder that the query no longer needs the sub-request.
 type CancelSub struct {
-	To topology.InstanceRef
-	ID message.SubID
+	To topology.InstanceRef `json:"to"`
+	ID message.SubID        `json:"id"`
 }
 
 // RunCanary has the instance that the fingerprint's hash names run the
 // sub-request alone. The driver reports the outcome through CanaryDone.
 type RunCanary struct {
-	Sub message.SubRequest
+	Sub message.SubRequest `json:"sub"`
 }
 
 // CancelCanary withdraws a canary whose verdict the query no longer needs.
 type CancelCanary struct {
-	ID message.SubID
+	ID message.SubID `json:"id"`
 }
 
 // Finish delivers the final answer. It is emitted at most once, and no command
 // follows it.
 type Finish struct {
-	Answer Answer
+	Answer Answer `json:"answer"`
 }
 
 func (SendSub) command()      {}
--- a/core/query/input.go
+++ b/core/query/input.go
@@ -4,6 +4,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
+	"knapweedstall/core/trace"
 )
 
 // Input is one input method call as a value, for recording and replay.
@@ -17,13 +18,17 @@
 	StartInput struct{}
 	// RepliedInput stands for Replied.
 	RepliedInput struct {
-		From  topology.InstanceRef
-		Reply message.SubReply
+		From  topology.InstanceRef `json:"from"`
+		Reply message.SubReply     `json:"reply"`
 	}
 	// CanaryDoneInput stands for CanaryDone.
-	CanaryDoneInput struct{ Verdict CanaryVerdict }
+	CanaryDoneInput struct {
+		Verdict CanaryVerdict `json:"verdict"`
+	}
 	// HolderLostInput stands for HolderLost.
-	HolderLostInput struct{ Ref topology.InstanceRef }
+	HolderLostInput struct {
+		Ref topology.InstanceRef `json:"ref"`
+	}
 	// AbandonInput stands for Abandon.
 	AbandonInput struct{}
 	// TickInput stands for Tick.
@@ -55,3 +60,25 @@
 	}
 	return nil
 }
+
+// Register names the input and command types for traces.
+func Register(r *trace.Registry) error {
+	for _, register := range []func() error{
+		func() error { return trace.Register[StartInput](r, "query.start") },
+		func() error { return trace.Register[RepliedInput](r, "query.replied") },
+		func() error { return trace.Register[CanaryDoneInput](r, "query.canaryDone") },
+		func() error { return trace.Register[HolderLostInput](r, "query.holderLost") },
+		func() error { return trace.Register[AbandonInput](r, "query.abandon") },
+		func() error { return trace.Register[TickInput](r, "query.tick") },
+		func() error { return trace.Register[SendSub](r, "query.sendSub") },
+		func() error { return trace.Register[CancelSub](r, "query.cancelSub") },
+		func() error { return trace.Register[RunCanary](r, "query.runCanary") },
+		func() error { return trace.Register[CancelCanary](r, "query.cancelCanary") },
+		func() error { return trace.Register[Finish](r, "query.finish") },
+	} {
+		if err := register(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/core/query/query_test.go
+++ b/core/query/query_test.go
@@ -1,6 +1,8 @@
 package query_test
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +11,7 @@
 	"knapweedstall/core/message"
 	"knapweedstall/core/query"
 	"knapweedstall/core/topology"
+	"knapweedstall/core/trace"
 )
 
 // fleet returns a snapshot of n services with one shard each, and its router.
@@ -103,6 +106,49 @@
 	}
 }
 
+// Guards against queries that decide differently in a replay, and against a
+// trace that hides a difference.
+func TestReplayOfQuery(t *testing.T) {
+	snapshots, router := fleet(20, "v2", "v1")
+	registry := trace.NewRegistry()
+	if err := query.Register(registry); err != nil {
+		t.Fatal(err)
+	}
+	build := func(limit int) *query.Query {
+		return query.New(message.RequestID{Entry: ref(7), Seq: 1}, query.Request{Tenant: "t", Limit: limit, Deadline: 100}, snapshots, router)
+	}
+	var text bytes.Buffer
+	r, err := trace.NewRecorder(&text, registry, trace.Machine[query.Input, query.Command](build(10)), trace.Header{Machine: "query"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	canary := r.Handle(1, query.StartInput{})[0].(query.RunCanary).Sub
+	cmds := r.Handle(2, query.CanaryDoneInput{Verdict: query.CanaryVerdict{ID: canary.ID, Outcome: query.CanaryKnownGood}})
+	from, replies := answers(cmds)
+	cmds = r.Handle(3, query.HolderLostInput{Ref: from[0]})
+	from2, replies2 := answers(cmds)
+	replies[5].Status, replies[5].Shards = message.StatusNotRun, nil
+	for i, f := range append(from, from2...) {
+		r.Handle(4, query.RepliedInput{From: f, Reply: append(replies, replies2...)[i]})
+	}
+	r.Handle(60, query.TickInput{})
+	r.Handle(95, query.TickInput{})
+	if err := r.Close(); err != nil || r.Steps() < 20 {
+		t.Fatalf("%d steps: %v", r.Steps(), err)
+	}
+	for _, limit := range []int{10, 10, 9} {
+		d, err := trace.NewReader(bytes.NewReader(text.Bytes()), registry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		steps, err := trace.Replay(d, trace.Machine[query.Input, query.Command](build(limit)))
+		var mismatch *trace.MismatchError
+		if limit == 10 && (err != nil || steps != r.Steps()) || limit == 9 && !errors.As(err, &mismatch) {
+			t.Errorf("limit %d: %d steps: %v", limit, steps, err)
+		}
+	}
+}
+
 // answers returns one reply for each sub-request with 10 hits.
 func answers(cmds []query.Command) (from []topology.InstanceRef, replies []message.SubReply) {
 	for _, c := range cmds {
--- /dev/null
+++ b/core/trace/reader.go
@@ -0,0 +1,126 @@
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+
+	"knapweedstall/core/clock"
+)
+
+// Reader reads a trace step by step.
+type Reader struct {
+	scanner *bufio.Scanner
+	types   *Registry
+	header  Header
+	line    uint64
+	steps   uint64
+	at      clock.Time
+	end     *End
+}
+
+// NewReader reads the header. It fails with *FormatError.
+func NewReader(r io.Reader, types *Registry, opts ...Option) (*Reader, error) {
+	b := newBounds(opts)
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, min(64<<10, b.maxLine)), b.maxLine)
+	d := &Reader{scanner: s, types: types}
+	var h headerLine
+	if err := d.next(&h); err != nil {
+		return nil, err
+	}
+	if h.Format != Format || h.Version != Version {
+		return nil, &FormatError{Line: d.line, Field: "format or version"}
+	}
+	d.header = Header{Machine: h.Machine, Setup: h.Setup}
+	return d, nil
+}
+
+// Header returns the header.
+func (d *Reader) Header() Header { return d.header }
+
+// End returns the last line, once Next has returned io.EOF.
+func (d *Reader) End() (End, bool) {
+	if d.end == nil {
+		return End{}, false
+	}
+	return *d.end, true
+}
+
+// Next returns the next step. It fails with io.EOF after the last line, with
+// *CutOffError when there is none, with *FormatError for an invalid line and
+// with *TypeError for an input whose name is not registered.
+func (d *Reader) Next() (Step, error) {
+	if d.end != nil {
+		return Step{}, io.EOF
+	}
+	var line struct {
+		stepLine
+		endLine
+	}
+	if err := d.next(&line); err != nil {
+		return Step{}, err
+	}
+	if line.End != "" {
+		return Step{}, d.close(line.endLine)
+	}
+	if line.Seq != d.steps+1 {
+		return Step{}, &FormatError{Line: d.line, Field: "seq"}
+	}
+	if line.At < d.at {
+		return Step{}, &FormatError{Line: d.line, Field: "at"}
+	}
+	input, err := d.types.decode(line.Input)
+	if _, unknown := err.(*TypeError); unknown {
+		return Step{}, err
+	}
+	if err != nil {
+		return Step{}, &FormatError{Line: d.line, Field: "input", Err: err}
+	}
+	d.steps, d.at = line.Seq, line.At
+	return Step{Seq: line.Seq, At: line.At, Input: input, Commands: line.Commands}, nil
+}
+
+// Commands decodes the commands of a step.
+func (d *Reader) Commands(s Step) ([]any, error) {
+	var all []named
+	if err := json.Unmarshal(s.Commands, &all); err != nil {
+		return nil, &FormatError{Line: d.line, Field: "commands", Err: err}
+	}
+	commands := make([]any, len(all))
+	for i, n := range all {
+		c, err := d.types.decode(n)
+		if err != nil {
+			return nil, err
+		}
+		commands[i] = c
+	}
+	return commands, nil
+}
+
+// close checks the last line and returns io.EOF if it is right.
+func (d *Reader) close(e endLine) error {
+	if e.End != EndClosed && e.End != EndLimit || e.Steps != d.steps {
+		return &FormatError{Line: d.line, Field: "end"}
+	}
+	if d.scanner.Scan() {
+		return &FormatError{Line: d.line + 1, Field: "line after the end"}
+	}
+	d.end = &End{Reason: e.End, Steps: e.Steps}
+	return io.EOF
+}
+
+// next decodes the next line.
+func (d *Reader) next(into any) error {
+	if !d.scanner.Scan() {
+		if err := d.scanner.Err(); err != nil {
+			return &FormatError{Line: d.line + 1, Field: "line", Err: err}
+		}
+		return &CutOffError{Steps: d.steps}
+	}
+	d.line++
+	if err := json.Unmarshal(d.scanner.Bytes(), into); err != nil {
+		return &FormatError{Line: d.line, Field: "line", Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/trace/recorder.go
@@ -0,0 +1,95 @@
+package trace
+
+import (
+	"encoding/json"
+	"io"
+
+	"knapweedstall/core/clock"
+)
+
+// Recorder is a machine that passes its inputs to another one and writes them,
+// with the commands, to a trace. A fault in recording never disturbs the
+// machine: it ends the recording and is reported by Err and Close.
+type Recorder[I, C any] struct {
+	machine Machine[I, C]
+	types   *Registry
+	w       io.Writer
+	bounds  bounds
+	written int64
+	steps   uint64
+	ended   bool
+	err     error
+}
+
+// NewRecorder writes the header and returns a recorder. Every line is one Write
+// call. A writer that must not delay the machine has to buffer itself.
+func NewRecorder[I, C any](w io.Writer, types *Registry, m Machine[I, C], h Header, opts ...Option) (*Recorder[I, C], error) {
+	r := &Recorder[I, C]{machine: m, types: types, w: w, bounds: newBounds(opts)}
+	r.write(headerLine{Format: Format, Version: Version, Machine: h.Machine, Setup: h.Setup}, true)
+	if r.err != nil {
+		return nil, r.err
+	}
+	return r, nil
+}
+
+// Handle passes the input on, records the step and returns the commands.
+func (r *Recorder[I, C]) Handle(now clock.Time, input I) []C {
+	// The input is encoded first, in case the machine changes what it points to.
+	var in named
+	if !r.ended {
+		in, r.err = r.types.encode(input)
+		r.ended = r.err != nil
+	}
+	commands := r.machine.Handle(now, input)
+	if r.ended {
+		return commands
+	}
+	data, err := encodeAll(r.types, commands)
+	if err != nil {
+		r.err, r.ended = err, true
+		return commands
+	}
+	if r.write(stepLine{Seq: r.steps + 1, At: now, Input: in, Commands: data}, false) {
+		r.steps++
+	}
+	return commands
+}
+
+// Err returns the fault that ended the recording, if any.
+func (r *Recorder[I, C]) Err() error { return r.err }
+
+// Steps returns the number of recorded steps.
+func (r *Recorder[I, C]) Steps() uint64 { return r.steps }
+
+// Close writes the last line unless the recording has already ended, and
+// returns Err. It does not close the writer.
+func (r *Recorder[I, C]) Close() error {
+	if !r.ended {
+		r.ended = true
+		r.write(endLine{End: EndClosed, Steps: r.steps}, true)
+	}
+	return r.err
+}
+
+// write writes one line. A line that would break a bound is replaced by the last
+// line unless force is set; a reader thereby learns that steps are missing.
+func (r *Recorder[I, C]) write(line any, force bool) bool {
+	data, err := json.Marshal(line)
+	if err != nil {
+		r.err, r.ended = &EncodeError{Type: "line", Err: err}, true
+		return false
+	}
+	data = append(data, '\n')
+	if !force && (len(data) > r.bounds.maxLine || r.written+int64(len(data)) > r.bounds.maxBytes) {
+		r.ended = true
+		r.write(endLine{End: EndLimit, Steps: r.steps}, true)
+		return false
+	}
+	n, err := r.w.Write(data)
+	r.written += int64(n)
+	if err != nil {
+		r.err, r.ended = &WriteError{Err: err}, true
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/core/trace/registry.go
@@ -0,0 +1,88 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+)
+
+// Registry maps the names of input and command types to Go types. It must not
+// change once it is in use.
+type Registry struct {
+	types map[string]reflect.Type
+	names map[reflect.Type]string
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{types: make(map[string]reflect.Type), names: make(map[reflect.Type]string)}
+}
+
+// Register gives the struct type T a name. It fails with *RegisterError if the
+// name or the type already has a partner.
+func Register[T any](r *Registry, name string) error {
+	t := reflect.TypeFor[T]()
+	_, nameTaken := r.types[name]
+	_, typeTaken := r.names[t]
+	if nameTaken || typeTaken {
+		return &RegisterError{Name: name, Type: t.String()}
+	}
+	r.types[name] = t
+	r.names[t] = name
+	return nil
+}
+
+// encode returns the named form of a value.
+func (r *Registry) encode(v any) (named, error) {
+	t := reflect.TypeOf(v)
+	name, ok := r.names[t]
+	if !ok {
+		return named{}, &TypeError{Name: typeName(t)}
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return named{}, &EncodeError{Type: name, Err: err}
+	}
+	// json.Marshal writes this escape only for bytes that are not UTF-8; a real
+	// U+FFFD is written as itself, and a backslash in a text is doubled.
+	if bytes.Contains(bytes.ReplaceAll(data, []byte(`\\`), nil), []byte(`\ufffd`)) {
+		return named{}, &EncodeError{Type: name}
+	}
+	return named{Type: name, Value: data}, nil
+}
+
+// decode returns the value of a named form.
+func (r *Registry) decode(n named) (any, error) {
+	t, ok := r.types[n.Type]
+	if !ok {
+		return nil, &TypeError{Name: n.Type}
+	}
+	v := reflect.New(t)
+	if err := json.Unmarshal(n.Value, v.Interface()); err != nil {
+		return nil, err
+	}
+	return v.Elem().Interface(), nil
+}
+
+// encodeAll returns the array of the named forms.
+func encodeAll[C any](r *Registry, values []C) (json.RawMessage, error) {
+	all := make([]named, len(values))
+	for i, v := range values {
+		n, err := r.encode(v)
+		if err != nil {
+			return nil, err
+		}
+		all[i] = n
+	}
+	return json.Marshal(all)
+}
+
+// name returns the registered name of a value's type.
+func (r *Registry) name(v any) string { return r.names[reflect.TypeOf(v)] }
+
+func typeName(t reflect.Type) string {
+	if t == nil {
+		return "nil"
+	}
+	return t.String()
+}
--- /dev/null
+++ b/core/trace/replay.go
@@ -0,0 +1,100 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Replay feeds the inputs of a trace to a machine that was built like the
+// recorded one, compares its commands with the recorded ones after each step,
+// and returns how many steps agreed. It stops at the first difference with
+// *MismatchError, and returns the reader's errors for a trace that is not valid
+// or was cut off. A trace that ended at its limit is replayed up to there.
+//
+// Commands are equal if their names and encoded values are; an absent, null or
+// empty list or object counts as the same.
+func Replay[I, C any](r *Reader, m Machine[I, C]) (steps uint64, err error) {
+	for {
+		step, err := r.Next()
+		if err == io.EOF {
+			return steps, nil
+		}
+		if err != nil {
+			return steps, err
+		}
+		input, ok := step.Input.(I)
+		if !ok {
+			return steps, &TypeError{Name: r.types.name(step.Input)}
+		}
+		got, err := encodeAll(r.types, m.Handle(step.At, input))
+		if err != nil {
+			return steps, err
+		}
+		diff, err := compare(step.Commands, got)
+		if err != nil {
+			return steps, &FormatError{Line: r.line, Field: "commands", Err: err}
+		}
+		if diff != "" {
+			return steps, &MismatchError{Seq: step.Seq, At: step.At, Diff: diff}
+		}
+		steps++
+	}
+}
+
+// compare returns the difference of two encoded values, empty if there is none.
+func compare(want, got json.RawMessage) (string, error) {
+	if bytes.Equal(want, got) {
+		return "", nil
+	}
+	w, err := generic(want)
+	if err != nil {
+		return "", err
+	}
+	g, err := generic(got)
+	if err != nil {
+		return "", err
+	}
+	return cmp.Diff(w, g), nil
+}
+
+// generic decodes a value without loss of digits and without what is empty.
+func generic(data json.RawMessage) (any, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	var v any
+	if err := d.Decode(&v); err != nil {
+		return nil, err
+	}
+	return prune(v), nil
+}
+
+// prune replaces empty lists and objects by nil and removes nil members.
+func prune(v any) any {
+	switch v := v.(type) {
+	case []any:
+		for i := range v {
+			v[i] = prune(v[i])
+		}
+		if len(v) > 0 {
+			return v
+		}
+		return nil
+	case map[string]any:
+		for k, member := range v {
+			if v[k] = prune(member); v[k] == nil {
+				delete(v, k)
+			}
+		}
+		if len(v) > 0 {
+			return v
+		}
+		return nil
+	}
+	return v
+}
