--- /dev/null
+++ b/core/claim/limits_test.go
@@ -0,0 +1,196 @@
+package claim_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/claim"
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/object/objecttest"
+	"knapweedstall/core/topology"
+)
+
+// driver completes every store call at once and collects the other commands.
+type driver struct {
+	*claim.Journal
+	store *objecttest.Store
+	seq   uint64
+	out   []claim.Command
+}
+
+func newDriver(store *objecttest.Store, incarnation topology.Incarnation, opts ...claim.Option) *driver {
+	return &driver{Journal: claim.New(7, topology.InstanceRef{ID: "i", Incarnation: incarnation}, opts...), store: store}
+}
+
+func (d *driver) do(now clock.Time, commands []claim.Command) {
+	for len(commands) > 0 {
+		c := commands[0]
+		commands = commands[1:]
+		switch c := c.(type) {
+		case claim.ReadObject:
+			commands = append(commands, d.ReadDone(now, d.store.Read(c.Key, objecttest.FaultNone))...)
+		case claim.WriteObject:
+			commands = append(commands, d.WriteDone(now, d.store.Write(c.Key, c.Expect, c.Value, objecttest.FaultNone))...)
+		default:
+			d.out = append(d.out, c)
+		}
+	}
+}
+
+func (d *driver) request(now clock.Time, key string) claim.Request {
+	d.seq++
+	return claim.Request{
+		RunRequest: message.RunRequest{ID: message.RequestID{Seq: d.seq}, Tenant: "acme", Collection: "dockdesk", Key: message.IdempotencyKey(key), Payload: "p"},
+		Deadline:   now.Add(clock.Second), UnixMS: 1_700_000_000_000 + int64(now),
+	}
+}
+
+// submit returns the command that ends or hands out the submission.
+func (d *driver) submit(now clock.Time, key string) claim.Command {
+	d.out = nil
+	d.do(now, d.Submit(now, d.request(now, key)))
+	if len(d.out) == 0 {
+		return nil
+	}
+	return d.out[len(d.out)-1]
+}
+
+func (d *driver) answer(now clock.Time, run claim.Run, answer string) {
+	d.do(now, d.RunDone(now, claim.RunResult{ID: run.ID, Attempt: run.Attempt, Outcome: message.OutcomeAnswered, Answer: []byte(answer)}))
+}
+
+// Guards against claims that stay for ever, and against a claim that is dropped
+// while a resend must still find it.
+func TestRetention(t *testing.T) {
+	store := objecttest.NewStore()
+	d := newDriver(store, 1)
+	d.answer(1, d.submit(1, "old").(claim.Run), "a")
+	day := clock.Time(24 * clock.Hour)
+	if _, ran := newDriver(store, 2).submit(day, "old").(claim.Run); ran {
+		t.Error("a key ran again within the retention period")
+	}
+	d.submit(day+3, "new")
+	claims, err := claim.Decode(store.Get(claim.Key(7)).Value)
+	if err != nil || len(claims) != 1 || claims[0].Key != "new" {
+		t.Errorf("journal after the retention period: %+v, %v", claims, err)
+	}
+}
+
+// Guards against a journal that outgrows its object, and a refusal without a
+// time after which there is room.
+func TestFullJournal(t *testing.T) {
+	d := newDriver(objecttest.NewStore(), 1, claim.WithMaxSize(400))
+	for n := range 10 {
+		run, ok := d.submit(1, fmt.Sprint("k", n)).(claim.Run)
+		if !ok {
+			reply := d.out[0].(claim.Reply)
+			want := message.RunReply{
+				ID: reply.ID, Tenant: "acme", Outcome: message.OutcomeNotRun, Reason: message.ReasonJournalFull,
+				At: 1_700_000_000_001, RetryAfterMS: 24 * clock.Hour,
+			}
+			if diff := cmp.Diff(want, reply.RunReply); diff != "" {
+				t.Errorf("refusal (-want +got):\n%s", diff)
+			}
+			if n == 0 || !d.Idle() {
+				t.Errorf("refused as number %d, idle %v", n, d.Idle())
+			}
+			return
+		}
+		d.answer(1, run, "a")
+	}
+	t.Error("a journal over its size limit took new claims")
+}
+
+// Guards against answers that make the journal too large for the store, and
+// against a resend that is given an empty answer as if it were whole.
+func TestLargeAnswerIsOmitted(t *testing.T) {
+	store := objecttest.NewStore()
+	d := newDriver(store, 1)
+	d.answer(1, d.submit(1, "k").(claim.Run), strings.Repeat("x", 17<<10))
+	first := d.out[len(d.out)-1].(claim.Reply)
+	if len(first.Answer) != 17<<10 {
+		t.Errorf("the waiting caller got %d bytes", len(first.Answer))
+	}
+	again := newDriver(store, 2).submit(2, "k").(claim.Reply)
+	if again.Outcome != message.OutcomeAnswered || !again.AnswerOmitted || len(again.Answer) > 0 {
+		t.Errorf("resend got %+v", again)
+	}
+}
+
+// Guards against callers that are kept waiting while the store is away.
+func TestStoreAwayIsRefusedAtOnce(t *testing.T) {
+	store := objecttest.NewStore()
+	store.Down = true
+	d := newDriver(store, 1)
+	for _, now := range []clock.Time{1, 100} {
+		reply, ok := d.submit(now, "k").(claim.Reply)
+		if !ok || reply.Outcome != message.OutcomeNotRun || reply.Reason != message.ReasonStoreAway || reply.RetryAfterMS <= 0 {
+			t.Errorf("at %d: got %+v, want an immediate refusal with a time to retry after", now, reply)
+		}
+	}
+	store.Down = false
+	if _, ok := d.submit(1000, "k").(claim.Run); !ok {
+		t.Errorf("after the outage: got %+v, want a run", d.out)
+	}
+}
+
+// Guards against one write for each claim, which would use up the store's write
+// rate: claims that wait during a write share the next one.
+func TestWaitingClaimsShareAWrite(t *testing.T) {
+	store := objecttest.NewStore()
+	d := newDriver(store, 1)
+	first := d.Submit(1, d.request(1, "k0"))
+	for n := range 20 {
+		if more := d.Submit(1, d.request(1, fmt.Sprint("k", n))); len(more) > 0 {
+			t.Fatalf("store call %v while a read is outstanding", more)
+		}
+	}
+	d.do(1, first)
+	if len(d.out) != 20 || store.Get(claim.Key(7)).Version != 1 {
+		t.Errorf("%d commands after version %d, want 20 runs after 1 write", len(d.out), store.Get(claim.Key(7)).Version)
+	}
+}
+
+// BenchmarkClaim claims batches on a journal with 1,000 answered claims and
+// records their outcomes.
+func BenchmarkClaim(b *testing.B) {
+	for _, size := range []int{1, 16, 128} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			store := objecttest.NewStore()
+			d := newDriver(store, 1<<60)
+			const future = clock.Time(1000 * 365 * 24 * clock.Hour) // so that these claims stay
+			for n := range 1000 {
+				d.answer(future, d.submit(future, fmt.Sprintf("018f3a52-7c1e-7000-8000-%012d", n)).(claim.Run), "ok")
+			}
+			b.ReportMetric(float64(len(store.Get(claim.Key(7)).Value))/1000, "journal-B/claim")
+			now := clock.Time(1)
+			d = newDriver(store, 1<<60+1)
+			for b.Loop() {
+				now += clock.Time(25 * clock.Hour) // earlier batches leave the journal
+				d.seq = 0
+				d.out = nil
+				var commands []claim.Command
+				for n := range size {
+					commands = append(commands, d.Submit(now, d.request(now, fmt.Sprintf("key-%d-%d", now, n)))...)
+				}
+				d.do(now, commands)
+				commands = nil
+				for _, c := range d.out {
+					if run, ok := c.(claim.Run); ok {
+						r := claim.RunResult{ID: run.ID, Attempt: run.Attempt, Outcome: message.OutcomeAnswered, Answer: []byte("ok")}
+						commands = append(commands, d.RunDone(now, r)...)
+					}
+				}
+				d.do(now, commands)
+				if !d.Idle() {
+					b.Fatal("outcomes are not recorded")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*size), "us/claim")
+		})
+	}
+}
--- a/core/object/objecttest/store.go
+++ b/core/object/objecttest/store.go
@@ -113,6 +113,9 @@
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
 		_ = f.Value.Set("20261204")
 	}
+	if f := flag.Lookup("rapid.steps"); f != nil && f.Value.String() == f.DefValue {
+		_ = f.Value.Set("60")
+	}
 	if f := flag.Lookup("rapid.nofailfile"); f != nil {
 		_ = f.Value.Set("true")
 	}
