--- a/core/message/claim.go
+++ b/core/message/claim.go
@@ -17,7 +17,8 @@
 	// OutcomeAnswered means that the request ran once and was answered.
 	OutcomeAnswered Outcome = "answered"
 	// OutcomeNotRun promises that this submission was not run and never will
-	// be. The key may be sent again.
+	// be. It says nothing about other submissions of the key, which may be sent
+	// again.
 	OutcomeNotRun Outcome = "notRun"
 	// OutcomeUnknown means that the request may have run; it runs no second
 	// time.
--- a/core/object/objecttest/store.go
+++ b/core/object/objecttest/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"flag"
+	"strconv"
 
 	"knapweedstall/core/object"
 )
@@ -106,18 +107,20 @@
 	return true
 }
 
-// Main runs a package's tests with a fixed seed unless -rapid.seed gives one.
-// -rapid.checks and -rapid.steps make longer runs.
-func Main(m interface{ Run() int }) int {
+// Main runs a package's tests with a fixed seed and the given number of checks
+// of 60 steps each. The flags -rapid.seed, -rapid.checks and -rapid.steps
+// override them, for longer runs.
+func Main(m interface{ Run() int }, checks int) int {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
+	defaults := map[string]string{
+		"rapid.seed":       "20261204",
+		"rapid.checks":     strconv.Itoa(checks),
+		"rapid.steps":      "60",
+		"rapid.nofailfile": "true",
 	}
-	if f := flag.Lookup("rapid.steps"); f != nil && f.Value.String() == f.DefValue {
-		_ = f.Value.Set("60")
-	}
-	if f := flag.Lookup("rapid.nofailfile"); f != nil {
-		_ = f.Value.Set("true")
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		_ = flag.Set(name, value) // fails only in a package without rapid tests
 	}
 	return m.Run()
 }
