--- a/cmd/main.go
+++ b/cmd/main.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/google/subcommands"
 )
@@ -29,14 +31,19 @@
 4 answered with shards missing, 5 ticket conflict, 6 outcome unknown.
 `
 
-// Main runs the verb that args names and returns the exit code.
-func Main(ctx context.Context, args []string) int {
+// Main runs the verb that args names and returns the exit code. SIGTERM and an
+// interrupt end the verb gracefully.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	flags := flag.NewFlagSet(filepath.Base(args[0]), flag.ContinueOnError)
 	commander := subcommands.NewCommander(flags, filepath.Base(args[0]))
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&serveCommand{}, "running")
 	commander.Register(&emulateCommand{}, "running")
+	commander.Register(&demoCommand{}, "running")
+	commander.Register(&loadCommand{}, "measuring")
 	commander.Register(&queryCommand{}, "callers")
 	commander.Register(&runCommand{}, "callers")
 	commander.Register(&ticketCommand{}, "operators")
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -67,12 +67,14 @@
 		return
 	}
 	u.started = true
-	s.load.First++
 	u.waited = now.Sub(u.arrived)
 	s.delay = u.waited
-	if u.req.ID.Attempt == 0 {
-		s.budget.earn()
+	if u.req.Repeat {
+		s.load.Extra++
+		return
 	}
+	s.load.First++
+	s.budget.earn()
 }
 
 // sendHedges sends the searches of overdue calls to a second target. Hedges go
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -91,6 +91,12 @@
 	return func(s *Service) { s.maxBatch = max(1, n) }
 }
 
+// Tune changes how new work is batched and hedged.
+func (s *Service) Tune(maxBatch int, hedges bool) {
+	s.maxBatch = max(1, maxBatch)
+	s.noHedges = !hedges
+}
+
 // WithoutHedges switches hedging off, for measurements against it.
 func WithoutHedges() Option {
 	return func(s *Service) { s.noHedges = true }
@@ -118,7 +124,7 @@
 	s.lastItem++
 	u := &sub{item: s.lastItem, req: req, arrived: now, deadline: deadline}
 	s.subs[req.ID] = u
-	if req.ID.Attempt > 0 && u.search() && !s.budget.take(1) {
+	if req.Repeat && u.search() && !s.budget.take(1) {
 		s.refuse(now, u, message.ReasonShed)
 	} else {
 		s.enqueue(u)
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -49,8 +49,9 @@
 	Query       string                `cbor:"7,keyasint" json:"query"`
 	Limit       int                   `cbor:"8,keyasint" json:"limit"` // hits wanted from each shard
 	Fingerprint Fingerprint           `cbor:"9,keyasint" json:"fingerprint"`
-	Rank        uint64                `cbor:"10,keyasint" json:"rank"`        // hashed priority, equal at every holder; the lowest is dropped first
-	RemainingMS clock.Duration        `cbor:"11,keyasint" json:"remainingMs"` // time left to the deadline when the message was sent
+	Rank        uint64                `cbor:"10,keyasint" json:"rank"`                       // hashed priority, equal at every holder; the lowest is dropped first
+	Repeat      bool                  `cbor:"12,keyasint,omitempty" json:"repeat,omitempty"` // an earlier attempt may have been sent to a target, so this one draws on the budget
+	RemainingMS clock.Duration        `cbor:"11,keyasint" json:"remainingMs"`                // time left to the deadline when the message was sent
 }
 
 // Status is the outcome of a sub-request.
--- /dev/null
+++ b/core/node/entry.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/query"
+	"knapweedstall/core/ticket"
+	"knapweedstall/core/topology"
+)
+
+const (
+	// isolatedRetry is the time after which a refused caller may come back; the
+	// balancer will have moved it to another instance by then.
+	isolatedRetry = 1000 * clock.Millisecond
+	stoppingRetry = 100 * clock.Millisecond
+	noSnapshot    = 500 * clock.Millisecond
+)
+
+// search is a caller's query in progress at its entry.
+type search struct {
+	call       CallID
+	seq        uint64
+	collection topology.CollectionID
+	config     ticket.Number
+	budget     clock.Duration // time from arrival to deadline
+	query      *query.Query
+}
+
+// searchArrived admits or refuses a query and starts it.
+func (n *Node) searchArrived(now clock.Time, e SearchArrived) {
+	n.stats.Searches++
+	refusal, retryAfter := n.admitSearch(now, e)
+	if refusal != "" {
+		n.refuse(e.Call, refusal, retryAfter)
+		return
+	}
+	n.seq++
+	id := message.RequestID{Entry: n.self.Ref, Seq: n.seq}
+	request := query.Request{
+		Tenant: e.Tenant, Collection: e.Collection, Query: e.Query, Limit: e.Limit, Deadline: e.Deadline,
+		Fingerprint: n.fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query),
+	}
+	s := &search{call: e.Call, seq: n.seq, collection: e.Collection, config: n.log.Number(), budget: e.Deadline.Sub(now)}
+	snapshots := n.log.State().Snapshots(e.Collection)
+	s.query = query.New(id, request, snapshots, router{n}, query.WithDelays(n.delays), query.WithKnownGood(n.knownGood()))
+	n.searches[s.seq], n.bySearch[s.call] = s, s
+	n.query(now, s, s.query.Start(now))
+}
+
+// admitSearch returns an empty Refusal when the query may start.
+func (n *Node) admitSearch(now clock.Time, e SearchArrived) (Refusal, clock.Duration) {
+	if refusal, retryAfter := n.admitCaller(now, e.Tenant, e.Collection); refusal != "" {
+		return refusal, retryAfter
+	}
+	if len(n.log.State().Snapshots(e.Collection)) == 0 {
+		return RefusedUnavailable, noSnapshot
+	}
+	if retryAfter, quarantined := n.quarantined(now, n.fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query)); quarantined {
+		return RefusedQuarantined, retryAfter
+	}
+	if n.opts.admission {
+		if retryAfter, ok := n.controller(e.Collection).Admit(now, e.Tenant); !ok {
+			return RefusedOverloaded, retryAfter
+		}
+	}
+	return "", 0
+}
+
+// admitCaller makes the checks that hold for searches and run requests alike.
+func (n *Node) admitCaller(now clock.Time, tenant topology.TenantID, collection topology.CollectionID) (Refusal, clock.Duration) {
+	state := n.log.State()
+	if n.stopped {
+		return RefusedStopping, stoppingRetry
+	}
+	if n.members.Isolated(now) {
+		return RefusedIsolated, isolatedRetry
+	}
+	if n.log.Number() == 0 {
+		return RefusedUnavailable, bootRetry
+	}
+	if _, ok := state.Collection(collection); !ok {
+		return RefusedUnknownCollection, 0
+	}
+	if t, ok := state.Tenant(tenant); !ok || !slices.Contains(t.Collections, collection) {
+		return RefusedForbidden, 0
+	}
+	return "", 0
+}
+
+func (n *Node) refuse(call CallID, r Refusal, retryAfter clock.Duration) {
+	n.stats.Refused++
+	n.emit(RefuseCall{Call: call, Refusal: r, RetryAfter: retryAfter})
+}
+
+func (n *Node) callerGone(now clock.Time, call CallID) {
+	if s := n.bySearch[call]; s != nil {
+		n.query(now, s, s.query.Abandon(now))
+		n.dropSearch(s)
+	}
+}
+
+func (n *Node) dropSearch(s *search) {
+	delete(n.searches, s.seq)
+	delete(n.bySearch, s.call)
+	n.alarms.forget(s.query)
+	d := s.query.Drops()
+	n.stats.RepliesDropped += uint64(d.Total())
+}
+
+// query carries out commands of a query.
+func (n *Node) query(now clock.Time, s *search, commands []query.Command) {
+	for _, c := range commands {
+		switch c := c.(type) {
+		case query.SendSub:
+			n.routed(now, c)
+			if !n.sendRef(c.To, c.Sub) {
+				n.queryLost(now, s, c.To)
+			}
+		case query.CancelSub:
+			n.unrouted(now, c.To, c.ID.Service)
+			n.sendRef(c.To, message.CancelSub{ID: c.ID})
+		case query.RunCanary:
+			n.runCanary(now, c.Sub)
+		case query.CancelCanary:
+			n.cancelCanary(now, c.ID)
+		case query.Finish:
+			n.finished(s, c.Answer)
+		}
+	}
+	if n.searches[s.seq] == s {
+		n.alarms.set(s.query, func(now clock.Time) { n.query(now, s, s.query.Tick(now)) })
+	}
+}
+
+func (n *Node) queryLost(now clock.Time, s *search, ref topology.InstanceRef) {
+	n.query(now, s, s.query.HolderLost(now, ref))
+}
+
+func (n *Node) finished(s *search, a query.Answer) {
+	n.dropSearch(s)
+	n.stats.Answered++
+	if a.Coverage.Answered < a.Coverage.Total {
+		n.stats.Incomplete++
+	}
+	n.emit(AnswerSearch{Call: s.call, Config: s.config, Answer: a})
+}
+
+// subReply takes a holder's reply as the entry, or as the keeper of a canary.
+func (n *Node) subReply(now clock.Time, from topology.InstanceRef, r message.SubReply) {
+	n.replied(now, from, r)
+	if n.runSubReplied(now, from, r) || n.canaryReplied(now, from, r) {
+		return
+	}
+	s := n.searches[r.ID.Request.Seq]
+	if s == nil || r.ID.Request.Entry != n.self.Ref {
+		n.stats.RepliesDropped++
+		return
+	}
+	n.controller(s.collection).Observe(now, r.ID.Service, r.QueueDelayMS, s.budget)
+	n.query(now, s, s.query.Replied(now, from, r))
+}
+
+// holderLost tells all queries that an instance can't be reached.
+func (n *Node) holderLost(now clock.Time, ref topology.InstanceRef) {
+	n.forgetRoutes(ref)
+	n.runsLost(now, ref)
+	n.canariesLost(now, ref)
+	for _, seq := range slices.Sorted(maps.Keys(n.searches)) {
+		if s := n.searches[seq]; s != nil {
+			n.queryLost(now, s, ref)
+		}
+	}
+}
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -7,16 +7,23 @@
 
 import (
 	"knapweedstall/core/clock"
+	"knapweedstall/core/dispatch"
 	"knapweedstall/core/message"
+	"knapweedstall/core/object"
+	"knapweedstall/core/ticket"
 	"knapweedstall/core/topology"
 )
 
-// CallID names a caller's request at its entry instance.
+// CallID names a caller's or operator's request at the instance that received
+// it. The driver chooses it and never reuses it.
 type CallID uint64
 
 // TargetCallID names one call to a target.
 type TargetCallID uint64
 
+// OpID names one operation on the store.
+type OpID uint64
+
 // Event is an input of a Node.
 type Event interface{ event() }
 
@@ -30,9 +37,26 @@
 	Deadline   clock.Time
 }
 
+// RunArrived is a caller's request that may not be repeated.
+type RunArrived struct {
+	Call       CallID
+	Tenant     topology.TenantID
+	Collection topology.CollectionID
+	Key        string
+	Payload    string
+	Deadline   clock.Time
+	At         int64 // wall clock in Unix ms
+}
+
 // CallerGone says that nobody waits for the call's answer any more.
 type CallerGone struct{ Call CallID }
 
+// TicketFiled is an operator's ticket. Number 0 stands for the next one.
+type TicketFiled struct {
+	Call   CallID
+	Ticket ticket.Ticket
+}
+
 // PeerReceived is one frame from a peer.
 type PeerReceived struct {
 	From   topology.InstanceRef
@@ -49,90 +73,64 @@
 	Terminated bool // the incarnation has provably ended
 }
 
-// ItemAnswer is a target's answer to one sub-request of a call.
-type ItemAnswer struct {
-	Tenant    topology.TenantID
-	Snapshot  topology.SnapshotID
-	Status    message.Status
-	Snapshots []topology.SnapshotID
-	Shards    []message.ShardAnswer
-}
-
 // TargetAnswered is the answer to a CallTarget.
 type TargetAnswered struct {
-	Call  TargetCallID
-	Items []ItemAnswer // in the order of the call's items
+	Call   TargetCallID
+	Answer dispatch.Answer
+	Fresh  bool // the call opened a new connection
 }
 
 // TargetFailed says that a CallTarget has no answer.
 type TargetFailed struct {
 	Call    TargetCallID
-	NotSent bool // no byte reached the target
+	Failure dispatch.Failure
+}
+
+// ObjectRead is the result of a ReadObject.
+type ObjectRead struct {
+	Op     OpID
+	Result object.ReadResult
 }
 
-// ObjectsRead delivers objects from the store, in the order of their versions.
-type ObjectsRead struct {
-	Objects []Object
+// ObjectWritten is the result of a WriteObject.
+type ObjectWritten struct {
+	Op     OpID
+	Result object.WriteResult
 }
 
-// Object is one stored value.
-type Object struct {
-	Key     string
-	Version int64
-	Value   []byte
+// ObjectsWatched delivers objects from the watch, or from the first listing, in
+// the order of their versions. Without objects it still shows that the store
+// answered.
+type ObjectsWatched struct {
+	Revision int64 // of the store when it replied
+	Objects  []message.StoredObject
 }
 
+// StoreFailed says that a call to the store had no usable reply.
+type StoreFailed struct{}
+
 // MembersListed delivers the platform's instance list.
 type MembersListed struct{ Members []topology.Member }
 
+// StopRequested begins a graceful stop.
+type StopRequested struct{}
+
 // Tick lets time pass.
-type Tick struct{}
+type Tick struct{ UnixMS int64 } // wall clock; 0 when the driver does not tell it
 
 func (SearchArrived) event()  {}
+func (RunArrived) event()     {}
 func (CallerGone) event()     {}
+func (TicketFiled) event()    {}
 func (PeerReceived) event()   {}
 func (PeerConnected) event()  {}
 func (PeerLost) event()       {}
 func (TargetAnswered) event() {}
 func (TargetFailed) event()   {}
-func (ObjectsRead) event()    {}
+func (ObjectRead) event()     {}
+func (ObjectWritten) event()  {}
+func (ObjectsWatched) event() {}
+func (StoreFailed) event()    {}
 func (MembersListed) event()  {}
+func (StopRequested) event()  {}
 func (Tick) event()           {}
-
-// Command is an output of a Node.
-type Command interface{ command() }
-
-// AnswerSearch ends a caller's query.
-type AnswerSearch struct {
-	Call   CallID
-	Answer SearchAnswer
-}
-
-// SearchAnswer is the result of a query.
-type SearchAnswer struct {
-	Snapshot topology.SnapshotID
-	Config   uint64
-	Total    int
-	Answered int
-	Missing  map[topology.ShardID]message.Reason
-	Hits     []message.Hit
-}
-
-// SendPeer sends a message to another instance.
-type SendPeer struct {
-	To   topology.Member
-	Body message.Body
-}
-
-// CallTarget calls a target; TargetAnswered or TargetFailed follows.
-type CallTarget struct {
-	Call     TargetCallID
-	Address  string
-	Snapshot topology.SnapshotID
-	Items    []message.SubRequest
-	Deadline clock.Time
-}
-
-func (AnswerSearch) command() {}
-func (SendPeer) command()     {}
-func (CallTarget) command()   {}
--- /dev/null
+++ b/core/node/held.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/dispatch"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// held is a service of which this instance holds a share, or still has work.
+type held struct {
+	id      topology.ServiceID
+	service *dispatch.Service
+	calls   map[dispatch.CallID]TargetCallID
+	replyTo map[message.SubID]topology.InstanceRef // who sent the sub-request: an entry, or the keeper of its fingerprint
+}
+
+// targetCall is a call in flight.
+type targetCall struct {
+	service topology.ServiceID
+	call    dispatch.CallID
+	target  topology.TargetID
+}
+
+// heldChanged starts or ends the queue of a service after its entry in the
+// holder table may have changed.
+func (n *Node) heldChanged(now clock.Time, id topology.ServiceID) {
+	conf, configured := n.services[id]
+	h := n.held[id]
+	switch {
+	case configured && h == nil && n.holds(id):
+		h = &held{id: id, calls: map[dispatch.CallID]TargetCallID{}, replyTo: map[message.SubID]topology.InstanceRef{}}
+		h.service = dispatch.New(conf, right{n})
+		n.tune(h)
+		n.held[id] = h
+		n.dispatch(h, h.service.Configure(now, conf, n.outTargets(conf)))
+	case h != nil && !n.holds(id) && h.idle():
+		delete(n.held, id)
+		n.alarms.forget(h.service)
+	}
+}
+
+func (h *held) idle() bool {
+	l := h.service.Load()
+	return l.Queued == 0 && l.InFlight == 0 && len(h.replyTo) == 0
+}
+
+// tune applies the tuning in force to a queue.
+func (n *Node) tune(h *held) {
+	tuning := n.log.State().Tuning()
+	h.service.Tune(tuning.MaxBatch, tuning.Hedging && n.opts.hedging)
+}
+
+// holds reports whether this instance is one of the service's holders.
+func (n *Node) holds(id topology.ServiceID) bool {
+	e, ok := n.holder.Holders(id)
+	return ok && (e.Holders[0] == n.self.Ref || e.Holders[1] == n.self.Ref)
+}
+
+// mayWork reports whether this instance may use a share of the service now. A
+// new holder that still waits for the former one must say so at once, since the
+// other holder can take the work.
+func (n *Node) mayWork(now clock.Time, id topology.ServiceID) bool {
+	if !n.holds(id) {
+		return false
+	}
+	warm, cold := n.holder.Use(now, id)
+	return warm != [2]bool{} || cold != [2]bool{}
+}
+
+func (n *Node) outTargets(s topology.Service) map[topology.TargetID]bool {
+	out := map[topology.TargetID]bool{}
+	for _, t := range s.Targets {
+		if n.zoneOut[t.Zone] {
+			out[t.ID] = true
+		}
+	}
+	return out
+}
+
+// reconfigureHeld passes a new configuration on to the queues. A service that
+// is no longer configured keeps no targets, so its queue runs empty.
+func (n *Node) reconfigureHeld(now clock.Time) {
+	for _, id := range slices.Sorted(maps.Keys(n.held)) {
+		h := n.held[id]
+		conf, ok := n.services[id]
+		if !ok {
+			conf = topology.Service{ID: id}
+		}
+		n.tune(h)
+		n.dispatch(h, h.service.Configure(now, conf, n.outTargets(conf)))
+		n.heldChanged(now, id)
+	}
+}
+
+// tickHeld ends queues that have run empty after their shares moved.
+func (n *Node) tickHeld(now clock.Time) {
+	for _, id := range slices.Sorted(maps.Keys(n.held)) {
+		n.heldChanged(now, id)
+	}
+}
+
+// subRequest takes a sub-request as a holder.
+func (n *Node) subRequest(now clock.Time, from topology.InstanceRef, sub message.SubRequest) {
+	h := n.held[sub.ID.Service]
+	if h == nil || !n.mayWork(now, sub.ID.Service) {
+		n.sendRef(from, message.SubReply{
+			ID: sub.ID, Tenant: sub.Tenant, Snapshot: sub.Snapshot,
+			Status: message.StatusNotRun, Reason: message.ReasonNoHolder,
+		})
+		return
+	}
+	n.stats.SubRequests++
+	h.replyTo[sub.ID] = from
+	n.dispatch(h, h.service.Submit(now, sub, now.Add(sub.RemainingMS)))
+}
+
+func (n *Node) cancelSub(now clock.Time, id message.SubID) {
+	if h := n.held[id.Service]; h != nil {
+		n.dispatch(h, h.service.CancelSub(now, id))
+	}
+}
+
+// targetReport takes what the other holder learned of a target.
+func (n *Node) targetReport(now clock.Time, r message.TargetReport) {
+	if h := n.held[r.Service]; h != nil {
+		n.dispatch(h, h.service.Reported(now, r))
+	}
+}
+
+func (n *Node) targetAnswered(now clock.Time, e TargetAnswered) {
+	c, ok := n.calls[e.Call]
+	delete(n.calls, e.Call)
+	h := n.held[c.service]
+	if !ok || h == nil {
+		return
+	}
+	delete(h.calls, c.call)
+	n.dispatch(h, h.service.Answered(now, c.call, e.Answer))
+}
+
+func (n *Node) targetFailed(now clock.Time, e TargetFailed) {
+	c, ok := n.calls[e.Call]
+	delete(n.calls, e.Call)
+	h := n.held[c.service]
+	if !ok || h == nil {
+		return
+	}
+	delete(h.calls, c.call)
+	n.dispatch(h, h.service.Failed(now, c.call, e.Failure))
+}
+
+// dispatch carries out commands of a service's queue.
+func (n *Node) dispatch(h *held, commands []dispatch.Command) {
+	for _, c := range commands {
+		switch c := c.(type) {
+		case dispatch.Send:
+			n.callTarget(h, c)
+		case dispatch.CancelCall:
+			n.cancelTarget(h, c)
+		case dispatch.Reply:
+			to := h.replyTo[c.ID]
+			delete(h.replyTo, c.ID)
+			n.sendRef(to, c.SubReply)
+		case dispatch.ReportTarget:
+			n.reportTarget(h.id, c.TargetReport)
+		}
+	}
+	n.alarms.set(h.service, func(now clock.Time) { n.dispatch(h, h.service.Tick(now)) })
+}
+
+func (n *Node) callTarget(h *held, c dispatch.Send) {
+	n.lastCall++
+	n.calls[n.lastCall] = targetCall{service: h.id, call: c.Call, target: c.Target}
+	h.calls[c.Call] = n.lastCall
+	n.stats.TargetCalls++
+	n.stats.TargetItems += uint64(len(c.Items))
+	n.emit(CallTarget{
+		Call: n.lastCall, Address: n.targetAddress(h.id, c.Target), Snapshot: c.Snapshot,
+		Items: c.Items, Once: c.Once, StartBy: c.StartBy, Deadline: c.Deadline,
+	})
+}
+
+func (n *Node) targetAddress(service topology.ServiceID, id topology.TargetID) string {
+	for _, t := range n.services[service].Targets {
+		if t.ID == id {
+			return t.Address
+		}
+	}
+	return "" // refused as not sent by the driver
+}
+
+func (n *Node) cancelTarget(h *held, c dispatch.CancelCall) {
+	if id, ok := h.calls[c.Call]; ok {
+		n.emit(CancelTarget{Call: id})
+	}
+}
+
+// reportTarget tells the other holder what a target's answer said.
+func (n *Node) reportTarget(id topology.ServiceID, r message.TargetReport) {
+	e, ok := n.holder.Holders(id)
+	if !ok {
+		return
+	}
+	for _, ref := range e.Holders {
+		if ref != n.self.Ref && !ref.IsZero() {
+			n.sendRef(ref, r)
+		}
+	}
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -1,266 +1,339 @@
 package node
 
 import (
-	"cmp"
-	"encoding/json"
-	"slices"
-	"strings"
+	"strconv"
 
+	"knapweedstall/core/admission"
 	"knapweedstall/core/clock"
+	"knapweedstall/core/holding"
+	"knapweedstall/core/membership"
 	"knapweedstall/core/message"
+	"knapweedstall/core/query"
+	"knapweedstall/core/ticket"
 	"knapweedstall/core/topology"
 )
 
-// Node is the decision logic of one instance.
+// Node is the decision logic of one instance. It is not safe for concurrent
+// use.
 type Node struct {
 	self    topology.Member
-	members map[topology.InstanceID]topology.Member
-	config  uint64
-	scopes  map[string]json.RawMessage
-	seq     uint64
-	calls   uint64
-	queries map[uint64]*search
-	holding map[TargetCallID][]held
+	opts    options
+	members *membership.Set
+	log     *ticket.Log
+	holder  *holding.Holder
+	alarms  *alarms
+	stats   Counters
+	out     []Command
+
+	spread   spread
+	store    store
+	boot     boot
+	watching bool
+	stopping bool
+	stopped  bool
+	stopAt   clock.Time
+
+	// As an entry.
+	seq       uint64
+	searches  map[uint64]*search // by the request's sequence number
+	bySearch  map[CallID]*search
+	delays    *query.DelayTracker
+	admission map[topology.CollectionID]*admission.Controller
+	routes    map[topology.ServiceID]*route
+	filings   map[CallID]*filing
+	runs      runs
+	unixMS    int64 // wall clock minus now, as the driver last told it
+
+	// As a holder.
+	services map[topology.ServiceID]topology.Service // in force
+	zoneOut  map[topology.ZoneID]bool
+	held     map[topology.ServiceID]*held
+	calls    map[TargetCallID]targetCall
+	lastCall TargetCallID
+	local    []localMessage
 }
 
-type held struct {
-	sub  message.SubRequest
-	from topology.InstanceRef
+// localMessage is a message of this instance to itself. It is delivered after
+// the present input, so that no machine is entered twice.
+type localMessage struct {
+	body message.Body
 }
 
-type search struct {
-	call    CallID
-	snap    topology.Snapshot
-	tenant  topology.TenantID
-	limit   int
-	waiting map[topology.ServiceID]bool
-	answer  SearchAnswer
-	ends    clock.Time
+type options struct {
+	seed      uint64
+	buckets   int
+	hedging   bool
+	admission bool
+	canary    bool
 }
 
-// New returns a Node for the instance self.
-func New(self topology.Member) *Node {
-	return &Node{
-		self:    self,
-		members: map[topology.InstanceID]topology.Member{self.Ref.ID: self},
-		scopes:  map[string]json.RawMessage{},
-		queries: map[uint64]*search{},
-		holding: map[TargetCallID][]held{},
+// Option changes a Node.
+type Option func(*options)
+
+// WithSeed sets the seed of all random choices.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// WithBuckets sets the number of holder table buckets of each region. All
+// instances must agree on it.
+func WithBuckets(n int) Option { return func(o *options) { o.buckets = n } }
+
+// WithoutHedging sends no search to a second target. Like the other options that
+// leave a policy out, it serves to measure a baseline.
+func WithoutHedging() Option { return func(o *options) { o.hedging = false } }
+
+// WithoutAdmission admits every query.
+func WithoutAdmission() Option { return func(o *options) { o.admission = false } }
+
+// WithoutCanary takes every query for safe.
+func WithoutCanary() Option { return func(o *options) { o.canary = false } }
+
+const defaultBuckets = 16
+
+// New returns a Node for the instance self, started at now.
+func New(now clock.Time, self topology.Member, opts ...Option) *Node {
+	o := options{buckets: defaultBuckets, hedging: true, admission: true, canary: true}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	n := &Node{
+		self: self, opts: o,
+		members:   membership.New(now, self, o.seed),
+		log:       ticket.NewLog(),
+		alarms:    newAlarms(),
+		spread:    newSpread(),
+		store:     newStore(),
+		boot:      boot{ticketAt: map[ticket.Number]int64{}},
+		searches:  map[uint64]*search{},
+		bySearch:  map[CallID]*search{},
+		delays:    query.NewDelayTracker(),
+		admission: map[topology.CollectionID]*admission.Controller{},
+		routes:    map[topology.ServiceID]*route{},
+		filings:   map[CallID]*filing{},
+		runs:      newRuns(),
+		services:  map[topology.ServiceID]topology.Service{},
+		zoneOut:   map[topology.ZoneID]bool{},
+		held:      map[topology.ServiceID]*held{},
+		calls:     map[TargetCallID]targetCall{},
 	}
+	n.holder = holding.New(self, work{n}, holding.WithSeed(o.seed^uint64(self.Ref.Incarnation)), holding.WithBuckets(o.buckets))
+	return n
 }
 
-// Config returns the number of the ticket in force.
-func (n *Node) Config() uint64 { return n.config }
-
-// Handle applies one event that happened at now.
+// Handle applies one event that happened at now, which never decreases. The
+// commands are to be carried out in order.
 func (n *Node) Handle(now clock.Time, e Event) []Command {
+	n.out = nil
+	n.apply(now, e)
+	n.deliverLocal(now)
+	n.alarms.run(now)
+	n.deliverLocal(now)
+	return n.out
+}
+
+func (n *Node) deliverLocal(now clock.Time) {
+	for len(n.local) > 0 {
+		m := n.local[0]
+		n.local = n.local[1:]
+		n.receive(now, n.self.Ref, m.body)
+	}
+}
+
+// NextWake returns when a Tick is next needed, besides the regular one every
+// TickPeriod.
+func (n *Node) NextWake() clock.Time { return n.alarms.next() }
+
+// TickPeriod is how often a driver sends Tick when nothing else is due.
+const TickPeriod = 50 * clock.Millisecond
+
+func (n *Node) apply(now clock.Time, e Event) {
 	switch e := e.(type) {
 	case SearchArrived:
-		return n.startSearch(now, e)
+		n.searchArrived(now, e)
+	case RunArrived:
+		n.unixMS = e.At - int64(now)
+		n.runArrived(now, e)
+	case CallerGone:
+		n.callerGone(now, e.Call)
+	case TicketFiled:
+		n.ticketFiled(e)
 	case PeerReceived:
-		var out []Command
-		for _, b := range e.Bodies {
-			out = append(out, n.receive(now, e.From, b)...)
-		}
-		return out
+		n.peerReceived(now, e)
 	case PeerConnected:
-		n.members[e.Member.Ref.ID] = e.Member
+		n.ended(now, n.members.Connected(now, e.Member))
+		n.membersChanged(now)
+	case PeerLost:
+		n.peerLost(now, e)
 	case TargetAnswered:
-		return n.targetAnswered(now, e)
+		n.targetAnswered(now, e)
 	case TargetFailed:
-		return n.targetFailed(now, e)
-	case ObjectsRead:
-		n.applyObjects(e.Objects)
+		n.targetFailed(now, e)
+	case ObjectRead:
+		n.objectRead(now, e)
+	case ObjectWritten:
+		n.objectWritten(now, e)
+	case ObjectsWatched:
+		n.objectsWatched(now, e)
+	case StoreFailed:
+		n.holding(n.holder.StoreReachable(now, n.members.ReachesStore(now)))
 	case MembersListed:
-		for _, m := range e.Members {
-			n.members[m.Ref.ID] = m
-		}
+		n.storeReplied(now)
+		n.ended(now, n.members.Listed(now, e.Members))
+		n.membersChanged(now)
+	case StopRequested:
+		n.stopRequested(now)
 	case Tick:
-		return n.tick(now)
-	}
-	return nil
-}
-
-type ticketValue struct {
-	Number  uint64 `json:"number"`
-	Changes []struct {
-		Scope string          `json:"scope"`
-		Value json.RawMessage `json:"value"`
-	} `json:"changes"`
-}
-
-func (n *Node) applyObjects(objects []Object) {
-	for _, o := range objects {
-		var t ticketValue
-		if !strings.HasPrefix(o.Key, "tickets/") || json.Unmarshal(o.Value, &t) != nil || t.Number != n.config+1 {
-			continue
-		}
-		n.config = t.Number
-		for _, c := range t.Changes {
-			n.scopes[c.Scope] = c.Value
+		if e.UnixMS != 0 {
+			n.unixMS = e.UnixMS - int64(now)
 		}
+		n.tick(now)
 	}
 }
 
-func (n *Node) collection(id topology.CollectionID) (topology.Collection, topology.Snapshot, bool) {
-	var c topology.Collection
-	var snaps []topology.Snapshot
-	okC := json.Unmarshal(n.scopes["collection/"+string(id)], &c) == nil
-	okS := json.Unmarshal(n.scopes["snapshot/"+string(id)], &snaps) == nil
-	if !okC || !okS || len(snaps) == 0 {
-		return c, topology.Snapshot{}, false
+// tick does the periodic work of the parts that have no alarm of their own.
+func (n *Node) tick(now clock.Time) {
+	for _, send := range n.members.Tick(now) {
+		n.send(send.To, send.Body)
 	}
-	return c, snaps[0], true
+	n.membersChanged(now)
+	n.holding(n.holder.StoreReachable(now, n.members.ReachesStore(now)))
+	n.holding(n.holder.Tick(now))
+	n.tickBoot(now)
+	n.tickHeld(now)
+	n.tickSpread(now)
+	n.watch(now)
+	n.checkStopped(now)
 }
 
-// holder picks the instance that serves the service by rendezvous hashing.
-func (n *Node) holder(service topology.ServiceID) topology.Member {
-	best := n.self
-	var bestHash uint64
-	for _, m := range n.members {
-		if h := topology.Hash64(string(service), string(m.Ref.ID)); h >= bestHash {
-			best, bestHash = m, h
+// membersChanged passes the present members on to the parts that place work.
+func (n *Node) membersChanged(now clock.Time) {
+	live := n.members.Live(now)
+	hash := uint64(len(live))
+	for i, m := range live {
+		if n.zoneOut[m.Zone] {
+			// Holdings move away from a zone that operators have taken out.
+			live[i].State = topology.MemberLeaving
+			m = live[i]
 		}
+		hash = hash*31 + topology.Hash64(m.Ref.String(), string(m.State))
 	}
-	return best
-}
-
-func (n *Node) startSearch(now clock.Time, e SearchArrived) []Command {
-	_, snap, ok := n.collection(e.Collection)
-	if !ok {
-		return []Command{AnswerSearch{Call: e.Call, Answer: SearchAnswer{Config: n.config}}}
-	}
-	n.seq++
-	s := &search{call: e.Call, snap: snap, tenant: e.Tenant, limit: e.Limit, waiting: map[topology.ServiceID]bool{}, ends: e.Deadline}
-	s.answer = SearchAnswer{Snapshot: snap.ID, Config: n.config, Total: snap.ShardCount()}
-	n.queries[n.seq] = s
-	var out []Command
-	for _, service := range snap.Services() {
-		s.waiting[service] = true
-		sub := message.SubRequest{
-			ID:   message.SubID{Request: message.RequestID{Entry: n.self.Ref, Seq: n.seq}, Service: service},
-			Kind: message.KindSearch, Tenant: e.Tenant, Collection: e.Collection, Snapshot: snap.ID,
-			Shards: snap.Shards[service], Query: e.Query, Limit: e.Limit, RemainingMS: e.Deadline.Sub(now),
-		}
-		out = append(out, n.send(now, n.holder(service), sub)...)
+	if hash == n.spread.liveHash {
+		return
 	}
-	return out
+	n.spread.liveHash = hash
+	n.holding(n.holder.SetMembers(now, live))
 }
 
-// send delivers a message, without a connection when it is for this instance.
-func (n *Node) send(now clock.Time, to topology.Member, b message.Body) []Command {
-	if to.Ref == n.self.Ref {
-		return n.receive(now, n.self.Ref, b)
+// ended passes on that incarnations have provably ended.
+func (n *Node) ended(now clock.Time, refs []topology.InstanceRef) {
+	for _, ref := range refs {
+		n.logf(LevelInfo, "instanceEnded", Attr{"instance", ref.String()})
+		n.holding(n.holder.Terminated(now, ref))
+		n.holderLost(now, ref)
 	}
-	return []Command{SendPeer{To: to, Body: b}}
 }
 
-func (n *Node) receive(now clock.Time, from topology.InstanceRef, b message.Body) []Command {
-	switch b := b.(type) {
-	case message.SubRequest:
-		return n.hold(now, from, b)
-	case message.SubReply:
-		return n.merge(b)
-	}
-	return nil
+func (n *Node) peerLost(now clock.Time, e PeerLost) {
+	ended := n.members.Lost(now, e.Ref, e.Terminated)
+	n.stats.PeersLost++
+	n.holderLost(now, e.Ref)
+	n.ended(now, ended)
+	n.membersChanged(now)
 }
 
-func (n *Node) hold(now clock.Time, from topology.InstanceRef, sub message.SubRequest) []Command {
-	c, _, ok := n.collection(sub.Collection)
-	i := slices.IndexFunc(c.Services, func(s topology.Service) bool { return s.ID == sub.ID.Service })
-	if !ok || i < 0 {
-		return n.send(now, n.members[from.ID], message.SubReply{ID: sub.ID, Tenant: sub.Tenant, Snapshot: sub.Snapshot, Status: message.StatusNotRun, Reason: message.ReasonNoTarget})
+// watch keeps one watch on the store in each zone.
+func (n *Node) watch(now clock.Time) {
+	on := n.boot.done && n.members.Watcher(now) && !n.stopped
+	if on != n.watching {
+		n.watching = on
+		n.emit(WatchStore{On: on, Prefixes: []string{ticketsPrefix, holdingsPrefix}, Since: n.boot.since})
 	}
-	n.calls++
-	id := TargetCallID(n.calls)
-	n.holding[id] = []held{{sub, from}}
-	targets := c.Services[i].Targets
-	t := targets[int(n.calls)%len(targets)]
-	return []Command{CallTarget{Call: id, Address: t.Address, Snapshot: sub.Snapshot, Items: []message.SubRequest{sub}, Deadline: now.Add(sub.RemainingMS)}}
 }
 
-func (n *Node) targetAnswered(now clock.Time, e TargetAnswered) []Command {
-	waiting := n.holding[e.Call]
-	delete(n.holding, e.Call)
-	var out []Command
-	for i, h := range waiting {
-		if i >= len(e.Items) {
-			break
-		}
-		a := e.Items[i]
-		reply := message.SubReply{ID: h.sub.ID, Tenant: a.Tenant, Snapshot: a.Snapshot, Status: a.Status, Shards: a.Shards}
-		out = append(out, n.send(now, n.members[h.from.ID], reply)...)
+func (n *Node) emit(c Command) { n.out = append(n.out, c) }
+
+// send delivers a body to a member, or to this instance itself.
+func (n *Node) send(to topology.Member, b message.Body) {
+	if to.Ref == n.self.Ref {
+		n.local = append(n.local, localMessage{body: b})
+		return
 	}
-	return out
+	n.emit(SendPeer{To: to, Body: b})
 }
 
-func (n *Node) targetFailed(now clock.Time, e TargetFailed) []Command {
-	waiting := n.holding[e.Call]
-	delete(n.holding, e.Call)
-	var out []Command
-	for _, h := range waiting {
-		reply := message.SubReply{ID: h.sub.ID, Tenant: h.sub.Tenant, Snapshot: h.sub.Snapshot, Status: message.StatusFailed, Reason: message.ReasonCrashed}
-		out = append(out, n.send(now, n.members[h.from.ID], reply)...)
+// sendRef delivers a body to a known incarnation. It reports whether the
+// incarnation is known.
+func (n *Node) sendRef(to topology.InstanceRef, b message.Body) bool {
+	m, ok := n.members.Member(to)
+	if ok {
+		n.send(m, b)
 	}
-	return out
+	return ok
 }
 
-func (n *Node) merge(r message.SubReply) []Command {
-	s := n.queries[r.ID.Request.Seq]
-	if s == nil || r.ID.Request.Entry != n.self.Ref || !s.waiting[r.ID.Service] {
-		return nil
-	}
-	if r.Tenant != s.tenant || r.Snapshot != s.snap.ID {
-		return nil
-	}
-	delete(s.waiting, r.ID.Service)
-	if r.Status == message.StatusOK {
-		s.answer.Answered += len(r.Shards)
-		for _, sh := range r.Shards {
-			s.answer.Hits = append(s.answer.Hits, sh.Hits...)
-		}
-	} else {
-		s.miss(r.ID.Service, r.Reason)
-	}
-	if len(s.waiting) > 0 {
-		return nil
-	}
-	return n.finish(r.ID.Request.Seq, s)
+func (n *Node) logf(level Level, code string, attrs ...Attr) {
+	n.emit(LogRecord{Level: level, Code: code, Attrs: attrs})
 }
 
-func (s *search) miss(service topology.ServiceID, reason message.Reason) {
-	if s.answer.Missing == nil {
-		s.answer.Missing = map[topology.ShardID]message.Reason{}
-	}
-	for _, sh := range s.snap.Shards[service] {
-		s.answer.Missing[sh] = reason
+// wall returns the wall clock in Unix ms.
+func (n *Node) wall(now clock.Time) int64 { return int64(now) + n.unixMS }
+
+func number(v uint64) string { return strconv.FormatUint(v, 10) }
+
+// Header returns what frames of this instance announce.
+func (n *Node) Header(now clock.Time) message.Header {
+	return message.Header{
+		Config:       uint64(n.log.Number()),
+		Table:        n.spread.tableHash,
+		ReachesStore: n.members.ReachesStore(now),
+		Leaving:      n.stopping,
+		SentAt:       now,
 	}
 }
 
-func (n *Node) finish(seq uint64, s *search) []Command {
-	delete(n.queries, seq)
-	slices.SortFunc(s.answer.Hits, func(a, b message.Hit) int {
-		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
-	})
-	s.answer.Hits = s.answer.Hits[:min(len(s.answer.Hits), s.limit)]
-	return []Command{AnswerSearch{Call: s.call, Answer: s.answer}}
+// Ready reports whether the instance should receive callers' requests.
+func (n *Node) Ready(now clock.Time) bool {
+	return !n.stopping && n.log.Number() > 0 && !n.members.Isolated(now)
 }
 
-func (n *Node) tick(now clock.Time) []Command {
-	var late []uint64
-	for seq, s := range n.queries {
-		if !now.Before(s.ends) {
-			late = append(late, seq)
+// receive handles one body.
+func (n *Node) receive(now clock.Time, from topology.InstanceRef, b message.Body) {
+	switch b := b.(type) {
+	case message.SubRequest:
+		n.subRequest(now, from, b)
+	case message.SubReply:
+		n.subReply(now, from, b)
+	case message.CancelSub:
+		n.cancelSub(now, b.ID)
+	case message.TargetReport:
+		n.targetReport(now, b)
+	case message.Gossip, message.MemberList:
+		ended, sends := n.members.Receive(now, from, b)
+		n.ended(now, ended)
+		for _, s := range sends {
+			n.send(s.To, s.Body)
 		}
+		n.membersChanged(now)
+	case message.TicketsRequest:
+		n.ticketsRequest(from, b)
+	case message.Tickets:
+		n.ticketsReceived(now, b)
+	case message.TableDigest:
+		n.tableDigest(from, b)
+	case message.Announce:
+	case message.TableBuckets:
+		n.tableBuckets(now, b)
+	case message.Vouch, message.EntryNotice, message.EntryAck, message.EntryRead, message.EntryReadReply:
+		n.holding(n.holder.Receive(now, from, b))
+	default:
+		n.receiveRun(now, from, b)
 	}
-	slices.Sort(late)
-	var out []Command
-	for _, seq := range late {
-		s := n.queries[seq]
-		for service := range s.waiting {
-			s.miss(service, message.ReasonDeadline)
-		}
-		out = append(out, n.finish(seq, s)...)
+}
+
+func (n *Node) peerReceived(now clock.Time, e PeerReceived) {
+	n.members.Heard(now, e.From, e.Header)
+	n.holding(n.holder.Heard(now, e.From, e.Header.ReachesStore))
+	n.headerSeen(now, e.From, e.Header)
+	for _, b := range e.Bodies {
+		n.receive(now, e.From, b)
 	}
-	return out
 }
--- /dev/null
+++ b/core/node/status.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/ticket"
+	"knapweedstall/core/topology"
+)
+
+// Counters count what happened since the start.
+type Counters struct {
+	Searches       uint64 `json:"searches"`
+	Answered       uint64 `json:"answered"`
+	Incomplete     uint64 `json:"incomplete"` // answers with shards missing
+	Refused        uint64 `json:"refused"`
+	Runs           uint64 `json:"runs"`
+	SubRequests    uint64 `json:"subRequests"` // taken as a holder
+	TargetCalls    uint64 `json:"targetCalls"`
+	TargetItems    uint64 `json:"targetItems"`
+	RepliesDropped uint64 `json:"repliesDropped"` // late, duplicate or stamped for another request
+	PeersLost      uint64 `json:"peersLost"`
+	TableWrites    uint64 `json:"tableWrites"`
+	ClaimWrites    uint64 `json:"claimWrites"`
+	StoreReads     uint64 `json:"storeReads"`
+	StoreWrites    uint64 `json:"storeWrites"`
+}
+
+// HoldingStatus describes one held service.
+type HoldingStatus struct {
+	Service  topology.ServiceID `json:"service"`
+	Epoch    uint64             `json:"epoch"`
+	Share    []int              `json:"share"` // shares in the table
+	Warm     [2]bool            `json:"warm"`  // shares usable for warm targets
+	Cold     [2]bool            `json:"cold"`  // shares usable for cold targets
+	Queued   int                `json:"queued"`
+	InFlight int                `json:"inFlight"`
+	First    uint64             `json:"first"` // sub-requests sent for the first time
+	Extra    uint64             `json:"extra"` // sent again: hedges and retries
+}
+
+// Status describes the node.
+type Status struct {
+	Self         topology.Member   `json:"self"`
+	Config       ticket.Number     `json:"config"`
+	Ready        bool              `json:"ready"`
+	Isolated     bool              `json:"isolated"`
+	ReachesStore bool              `json:"reachesStore"`
+	Watching     bool              `json:"watching"`
+	Stopping     bool              `json:"stopping"`
+	Live         []topology.Member `json:"live"`
+	Suspected    []topology.Member `json:"suspected"`
+	Holdings     []HoldingStatus   `json:"holdings"`
+	Counters     Counters          `json:"counters"`
+}
+
+// Status returns a description of the node at now.
+func (n *Node) Status(now clock.Time) Status {
+	s := Status{
+		Self: n.self, Config: n.log.Number(), Ready: n.Ready(now), Isolated: n.members.Isolated(now),
+		ReachesStore: n.members.ReachesStore(now), Watching: n.watching, Stopping: n.stopping,
+		Live: n.members.Live(now), Suspected: n.members.Suspected(now), Counters: n.stats,
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.held)) {
+		s.Holdings = append(s.Holdings, n.holdingStatus(now, id))
+	}
+	return s
+}
+
+func (n *Node) holdingStatus(now clock.Time, id topology.ServiceID) HoldingStatus {
+	e, _ := n.holder.Holders(id)
+	l := n.held[id].service.Load()
+	s := HoldingStatus{Service: id, Epoch: e.Epoch, Queued: l.Queued, InFlight: l.InFlight, First: l.First, Extra: l.Extra}
+	for k, ref := range e.Holders {
+		if ref == n.self.Ref {
+			s.Share = append(s.Share, k)
+		}
+	}
+	s.Warm, s.Cold = n.holder.Use(now, id)
+	return s
+}
+
+// Counters returns what happened since the start.
+func (n *Node) Counters() Counters { return n.stats }
+
+// Log returns the configuration log. It must not be changed.
+func (n *Node) Log() *ticket.Log { return n.log }
--- /dev/null
+++ b/core/node/stop.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+)
+
+const (
+	// stopGrace lets the balancer and the peers learn that this instance is
+	// leaving; it serves as usual until then.
+	stopGrace = 2000 * clock.Millisecond
+	// stopLimit bounds a graceful stop when a handover can't be completed, for
+	// example because the store is unavailable.
+	stopLimit = 15000 * clock.Millisecond
+)
+
+func (n *Node) stopRequested(now clock.Time) {
+	if n.stopping {
+		return
+	}
+	n.stopping = true
+	n.stopAt = now
+	n.self.State = topology.MemberLeaving
+	n.logf(LevelInfo, "stopRequested")
+	n.holding(n.holder.Leave(now))
+	n.announce(now)
+}
+
+// checkStopped ends a graceful stop when nothing is in flight and no share is
+// held any more.
+func (n *Node) checkStopped(now clock.Time) {
+	if !n.stopping || n.stopped || now.Sub(n.stopAt) < stopGrace {
+		return
+	}
+	busy := len(n.searches) + len(n.filings) + n.runsInProgress()
+	for _, h := range n.held {
+		if !h.idle() {
+			busy++
+		}
+	}
+	if busy+n.holder.Held(now) > 0 && now.Sub(n.stopAt) < stopLimit {
+		return
+	}
+	n.stopped = true
+	n.logf(LevelInfo, "stopped", Attr{"unfinished", number(uint64(busy))})
+	n.emit(Stopped{})
+}
--- a/core/query/canary.go
+++ b/core/query/canary.go
@@ -65,7 +65,10 @@
 func (q *Query) judge(now clock.Time, v CanaryVerdict) {
 	i, _ := findPart(q.parts, v.ID.Service)
 	p := &q.parts[i]
-	p.sends[len(p.sends)-1].state = attemptDone
+	last := &p.sends[len(p.sends)-1]
+	last.state = attemptDone
+	last.idle = v.Outcome == CanaryKnownGood || v.Outcome == CanaryQuarantined || v.Outcome == CanaryNotRun ||
+		v.Outcome == CanaryReplied && v.Reply.Status == message.StatusNotRun
 	switch v.Outcome {
 	case CanaryKnownGood:
 		q.refused(0)
--- a/core/query/part.go
+++ b/core/query/part.go
@@ -32,6 +32,7 @@
 	to    topology.InstanceRef
 	at    clock.Time
 	state attemptState
+	idle  bool // proved to have run nothing
 }
 
 // part is one service's part of the answer.
@@ -69,6 +70,12 @@
 	return parts
 }
 
+// repeats reports whether a further attempt repeats one that a target may have
+// run. Only such an attempt is extra load.
+func (p *part) repeats() bool {
+	return slices.ContainsFunc(p.sends, func(a attempt) bool { return !a.idle })
+}
+
 // findPart returns the index of the service's part.
 func findPart(parts []part, service topology.ServiceID) (int, bool) {
 	return slices.BinarySearchFunc(parts, service, func(p part, s topology.ServiceID) int {
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -111,6 +111,7 @@
 		return nil
 	}
 	a.state = attemptDone
+	a.idle = r.Status == message.StatusNotRun
 	if r.Status != message.StatusNotRun {
 		q.learn(p.service, now.Sub(a.at))
 	}
@@ -268,6 +269,7 @@
 		Limit:       q.req.Limit,
 		Fingerprint: q.req.Fingerprint,
 		Rank:        q.rank,
+		Repeat:      p.repeats(),
 		RemainingMS: q.finishAt.Sub(now),
 	}
 }
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -18,6 +18,7 @@
 	ZoneMS      float64 // one-way network delay between two zones, in ms
 	ClientMS    float64 // one-way network delay between a caller and the tier, in ms
 	Instances   int     // instances of the tier
+	Tenants     []topology.TenantID
 	Collections []topology.Collection
 	Snapshots   map[topology.CollectionID][]topology.Snapshot // newest first; at least 1 for each collection
 	ConnectMS   map[topology.CollectionID]float64             // time that a new connection to a target takes, in ms
@@ -64,6 +65,7 @@
 		ZoneMS:    1,
 		ClientMS:  3,
 		Instances: 15,
+		Tenants:   []topology.TenantID{"harbor-ops", "rail-desk"},
 	}
 	shapes := []shape{
 		{id: "dockdesk", services: 20, targets: 2, slots: 2, connections: 55, connectMS: 6},
@@ -84,6 +86,7 @@
 		ZoneMS:    0.5,
 		ClientMS:  3,
 		Instances: 14,
+		Tenants:   []topology.TenantID{"studio-armor", "studio-leon"},
 	}
 	shapes := []shape{
 		{id: "takefinder", services: 20, targets: 2, slots: 2, connections: 50, connectMS: 6},
--- a/deployment/ticket.go
+++ b/deployment/ticket.go
@@ -19,20 +19,47 @@
 
 // Change holds the whole new state of one scope.
 type Change struct {
-	Scope string `json:"scope"` // "collection/<id>" or "snapshot/<collection>"
-	Value any    `json:"value"` // topology.Collection, or []topology.Snapshot with the newest first
+	Scope string `json:"scope"` // as docs/design.md section 5 lists them
+	Value any    `json:"value"` // ZoneValue, TenantValue, topology.Collection, or []topology.Snapshot with the newest first
 }
 
-// FirstTicket returns the ticket that sets up every collection of d together
-// with its snapshots.
+// ZoneValue is the state of an availability zone.
+type ZoneValue struct {
+	Region topology.RegionID `json:"region"`
+	State  string            `json:"state"` // "in" or "out"
+}
+
+// TenantValue is the state of a tenant.
+type TenantValue struct {
+	Weight      int                     `json:"weight"`
+	Collections []topology.CollectionID `json:"collections"`
+}
+
+// FirstTicket returns the ticket that sets up the zones, every collection with
+// its snapshots, and the tenants, which may all use every collection.
 func (d Deployment) FirstTicket() Ticket {
 	t := Ticket{Number: 1, FilingID: d.Name + "-1", Operator: "setup"}
+	for _, zone := range d.Zones {
+		t.Changes = append(t.Changes, d.ZoneChange(zone, "in"))
+	}
+	var all []topology.CollectionID
+	for _, c := range d.Collections {
+		all = append(all, c.ID)
+	}
+	for _, tenant := range d.Tenants {
+		t.Changes = append(t.Changes, Change{Scope: "tenant/" + string(tenant), Value: TenantValue{Weight: 1, Collections: all}})
+	}
 	for _, c := range d.Collections {
 		t.Changes = append(t.Changes, collectionChange(c), snapshotChange(c.ID, d.Snapshots[c.ID]))
 	}
 	return t
 }
 
+// ZoneChange returns the change that takes a zone in or out.
+func (d Deployment) ZoneChange(zone topology.ZoneID, state string) Change {
+	return Change{Scope: "zone/" + string(zone), Value: ZoneValue{Region: d.Region, State: state}}
+}
+
 func collectionChange(c topology.Collection) Change {
 	return Change{Scope: "collection/" + string(c.ID), Value: c}
 }
--- a/e2e/doc.go
+++ b/e2e/doc.go
@@ -1,4 +1,3 @@
 // Package e2e holds the tests that run the whole path in separate processes:
-// callers over HTTP, instances, target and platform stand-ins, each started
-// from the built binary.
+// callers over HTTP, instances, target and platform stand-ins.
 package e2e
--- a/emulator/target/call.go
+++ b/emulator/target/call.go
@@ -17,6 +17,7 @@
 const (
 	pathSearch = "/v1/search"
 	pathRun    = "/v1/run"
+	pathCancel = "/v1/cancel"
 )
 
 const maxRequestBytes = 4 << 20
@@ -52,7 +53,7 @@
 	}
 	a := s.arrive(c.Path(), r, c.Request())
 	if a.outcome == OutcomeRunning {
-		a.outcome = s.run(ctx, a, deadlineOf(c.Request().Header))
+		a.outcome = s.runCancellable(ctx, a, c.Request().Header)
 		s.finish(a)
 	}
 	s.ledger.close(a.call, a.outcome)
@@ -144,6 +145,25 @@
 	return false
 }
 
+// runCancellable runs a call that POST /v1/cancel can end by its id.
+func (s *Server) runCancellable(ctx context.Context, a admission, header http.Header) Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if id := header.Get(HeaderCall); id != "" {
+		s.cancels.Store(id, cancel)
+		defer s.cancels.Delete(id)
+	}
+	return s.run(ctx, a, deadlineOf(header))
+}
+
+// serveCancel ends a call; the call's own reply says that it did.
+func (s *Server) serveCancel(c echo.Context) error {
+	if cancel, ok := s.cancels.Load(c.Request().Header.Get(HeaderCall)); ok {
+		cancel.(context.CancelFunc)()
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
 // run takes the service time of a call and returns how it ended.
 func (s *Server) run(ctx context.Context, a admission, deadline time.Time) Outcome {
 	timer := time.NewTimer(a.duration)
@@ -194,6 +214,8 @@
 		return s.refuse(c, http.StatusServiceUnavailable, StatusLate, a.state)
 	case OutcomeDraining:
 		return s.refuse(c, http.StatusServiceUnavailable, StatusDraining, a.state)
+	case OutcomeCancelled:
+		return s.refuse(c, http.StatusServiceUnavailable, StatusCancelled, a.state)
 	case OutcomeDeadline:
 		return s.refuse(c, http.StatusGatewayTimeout, StatusDeadline, a.state)
 	}
--- a/emulator/target/protocol.go
+++ b/emulator/target/protocol.go
@@ -9,8 +9,9 @@
 	"knapweedstall/core/topology"
 )
 
-// Headers of the target protocol: absolute wall-clock times in Unix ms.
+// Headers of the target protocol. The times are absolute, in Unix ms.
 const (
+	HeaderCall     = "X-Call-Id" // names a call for POST /v1/cancel
 	HeaderStartBy  = "X-Start-By-Unix-Ms"
 	HeaderDeadline = "X-Deadline-Unix-Ms"
 )
@@ -51,13 +52,16 @@
 // RefusalStatus says why a call was not run.
 type RefusalStatus string
 
-// Refusals. StatusDeadline is not a promise that nothing ran: the call had
-// started and was stopped at its deadline. It comes with HTTP status 504.
+// Refusals. StatusDeadline and StatusCancelled are no promises that nothing
+// ran: the call had started and has ended at its deadline, with HTTP status 504,
+// or because it was cancelled.
 const (
 	StatusShed     RefusalStatus = "shed"
 	StatusLate     RefusalStatus = "late"
 	StatusDraining RefusalStatus = "draining"
 	StatusDeadline RefusalStatus = "deadline"
+
+	StatusCancelled RefusalStatus = "cancelled"
 )
 
 // Refusal is the body of an answer with status 503 (nothing was run) or 504.
--- a/emulator/target/server.go
+++ b/emulator/target/server.go
@@ -32,6 +32,8 @@
 	config Config
 	echo   *echo.Echo
 	ledger *Ledger
+	// cancels holds the context.CancelFunc of each running call by its id.
+	cancels sync.Map
 
 	mu        sync.Mutex
 	address   string
@@ -74,6 +76,7 @@
 	}
 	s.echo.POST(pathSearch, s.serveCall)
 	s.echo.POST(pathRun, s.serveCall)
+	s.echo.POST(pathCancel, s.serveCancel)
 	s.echo.GET("/v1/health", s.serveHealth)
 	return s
 }
--- a/emulator/target/target_test.go
+++ b/emulator/target/target_test.go
@@ -454,3 +454,27 @@
 		t.Errorf("snapshot: %d", w.Code)
 	}
 }
+
+// Guards against a cancellation that leaves the caller without proof that the
+// call has ended.
+func TestCancelAnswersTheCall(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.Timing = Timing{BaseMS: 5000} }).servers[0]
+	done := make(chan reply, 1)
+	client := newClient(t)
+	go func() {
+		done <- post(context.Background(), client, s, pathSearch, search(s, "amber"), HeaderCall, "c1")
+	}()
+	eventually(t, "the call runs", func() bool { return running(s) == 1 })
+	post(context.Background(), client, s, pathCancel, Request{}, HeaderCall, "c1")
+	select {
+	case got := <-done:
+		if got.code != http.StatusServiceUnavailable || got.Refusal.Status != StatusCancelled {
+			t.Errorf("got status %d %q, want 503 %q", got.code, got.Refusal.Status, StatusCancelled)
+		}
+	case <-time.After(patience):
+		t.Fatal("the call was not cancelled")
+	}
+	if n := running(s); n != 0 {
+		t.Errorf("%d calls run after the cancellation, want 0", n)
+	}
+}
--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,214 @@
+// Package experiment measures the policies of the tier on a whole deployment in
+// one process, each against a baseline that leaves the policy out.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+	"knapweedstall/deployment"
+	"knapweedstall/emulator/target"
+	"knapweedstall/load"
+	"knapweedstall/tier"
+)
+
+// Options are common to all experiments.
+type Options struct {
+	Deployment string         `json:"deployment"`
+	Instances  int            `json:"instances"`
+	DurationMS clock.Duration `json:"durationMs"` // of each recorded run
+	RatePerSec float64        `json:"ratePerSec"` // 0 for the experiment's own
+	Seed       uint64         `json:"seed"`
+}
+
+// Figure is one measured value.
+type Figure struct {
+	Name  string  `json:"name"`
+	Unit  string  `json:"unit"`
+	Value float64 `json:"value"`
+	Goal  string  `json:"goal,omitempty"` // the stated target, when there is one
+	Met   *bool   `json:"met,omitempty"`  // set when Goal is
+}
+
+// Report is the outcome of an experiment.
+type Report struct {
+	Experiment  string            `json:"experiment"`
+	Options     Options           `json:"options"`
+	Comparisons []load.Comparison `json:"comparisons"`
+	Figures     []Figure          `json:"figures"`
+}
+
+// add appends a figure without a goal.
+func (r *Report) add(name, unit string, value float64) {
+	r.Figures = append(r.Figures, Figure{Name: name, Unit: unit, Value: value})
+}
+
+// judge appends a figure with its goal.
+func (r *Report) judge(name, unit string, value float64, goal string, met bool) {
+	r.Figures = append(r.Figures, Figure{Name: name, Unit: unit, Value: value, Goal: goal, Met: &met})
+}
+
+// Met reports whether every figure with a goal meets it.
+func (r *Report) Met() bool {
+	for _, f := range r.Figures {
+		if f.Met != nil && !*f.Met {
+			return false
+		}
+	}
+	return true
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	fmt.Fprintf(w, "%s on %s, %d instances, seed %d\n", r.Experiment, r.Options.Deployment, r.Options.Instances, r.Options.Seed)
+	for _, c := range r.Comparisons {
+		if err := c.WriteTable(w); err != nil {
+			return err
+		}
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	for _, f := range r.Figures {
+		fmt.Fprintf(t, "%s\t%.4g %s\t%s\n", f.Name, f.Value, f.Unit, verdict(f))
+	}
+	return t.Flush()
+}
+
+func verdict(f Figure) string {
+	if f.Met == nil {
+		return ""
+	}
+	if *f.Met {
+		return "goal " + f.Goal + ": met"
+	}
+	return "goal " + f.Goal + ": NOT met"
+}
+
+// Experiment is one measurement.
+type Experiment struct {
+	Name     string
+	Synopsis string
+	Run      func(ctx context.Context, o Options, r *Report) error
+}
+
+// All returns the experiments by name.
+func All() []Experiment {
+	return []Experiment{
+		{"stragglers", "hedging against 1 slow sub-request in 100", stragglers},
+		{"overload", "goodput at 1 to 2 times the capacity, with and without admission control", overload},
+		{"fairness", "a tenant that offers ten times its share beside a well-behaved one", fairness},
+		{"zone", "an availability zone taken out and brought back under load", zone},
+		{"cold", "targets that turn cold under load", cold},
+		{"silent", "all open target connections go silent under load", silent},
+		{"config", "time until an accepted ticket is in force everywhere", config},
+		{"canary", "price of the canary for queries never seen before", canary},
+		{"restart", "instances stopped gracefully and killed under load", restart},
+	}
+}
+
+// UnknownError says that there is no experiment of that name.
+type UnknownError struct{ Name string }
+
+// Error implements error.
+func (e *UnknownError) Error() string { return fmt.Sprintf("no experiment %q", e.Name) }
+
+// Run runs the named experiment.
+func Run(ctx context.Context, name string, o Options) (*Report, error) {
+	all := All()
+	i := slices.IndexFunc(all, func(e Experiment) bool { return e.Name == name })
+	if i < 0 {
+		return nil, &UnknownError{name}
+	}
+	r := &Report{Experiment: name, Options: o}
+	return r, all[i].Run(ctx, o, r)
+}
+
+func (o Options) deployment() deployment.Deployment {
+	if o.Deployment == "berceuse" {
+		return deployment.Berceuse()
+	}
+	return deployment.Peachline()
+}
+
+// plan returns a plan that searches the first collection for all tenants.
+func (o Options) plan(name string, t *tier.Tier, rate float64) load.Plan {
+	if o.RatePerSec > 0 {
+		rate = o.RatePerSec
+	}
+	p := load.Plan{
+		Name: name, Addresses: t.Addresses(), RatePerSec: rate, DurationMS: o.DurationMS,
+		WarmupMS: 2 * clock.Second, DeadlineMS: 250, Seed: o.Seed,
+	}
+	for _, tenant := range t.Deployment.Tenants {
+		p.Streams = append(p.Streams, load.Stream{
+			Tenant: tenant, Token: tier.Token(tenant), Collection: t.Deployment.Collections[0].ID, Weight: 1, Queries: words(200),
+		})
+	}
+	return p
+}
+
+// words returns n query texts.
+func words(n int) []string {
+	vocabulary := target.Words()
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s %s q%d", vocabulary[i%len(vocabulary)], vocabulary[(i/3)%len(vocabulary)], i))
+	}
+	return out
+}
+
+// run measures a plan and checks every answer against the documents.
+func run(ctx context.Context, t *tier.Tier, p load.Plan) (*load.Result, error) {
+	return load.Run(ctx, p, load.WithCheck(check(t)))
+}
+
+// check returns a check of answers against the targets' documents.
+func check(t *tier.Tier) load.Check {
+	var corpus target.Corpus
+	shards := func(id topology.CollectionID, snapshot topology.SnapshotID) []topology.ShardID {
+		for _, s := range t.Targets.Snapshots(id) {
+			if s.ID == snapshot {
+				return shardsOf(s)
+			}
+		}
+		return nil
+	}
+	return load.NewCheck(shards, func(q load.Query, snapshot topology.SnapshotID, covered []topology.ShardID) []hit {
+		return corpus.Answer(snapshot, covered, q.Tenant, q.Text, q.Limit)
+	})
+}
+
+func shardsOf(s topology.Snapshot) []topology.ShardID {
+	var out []topology.ShardID
+	for _, service := range s.Services() {
+		out = append(out, s.Shards[service]...)
+	}
+	return out
+}
+
+// timing replaces the service times of all targets.
+func timing(tm target.Timing) tier.Option {
+	return tier.WithFleet(target.WithConfig(func(_ topology.Collection, c *target.Config) { c.Timing = tm }))
+}
+
+// callsSince counts the calls that the selected targets started after since.
+func callsSince(t *tier.Tier, sel target.Selector, since time.Time) int {
+	servers, err := t.Targets.Select(sel)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, s := range servers {
+		for _, c := range s.Ledger().Calls() {
+			if c.Started.After(since) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/instance/callers.go
@@ -0,0 +1,136 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/node"
+	"knapweedstall/core/query"
+	"knapweedstall/core/topology"
+	"knapweedstall/io/caller"
+)
+
+// Search implements caller.Backend.
+func (in *Instance) Search(ctx context.Context, tenant topology.TenantID, r caller.SearchRequest) (caller.SearchAnswer, error) {
+	start := in.clock.Now()
+	c, ok := in.request(ctx, func(call node.CallID) node.Event {
+		return node.SearchArrived{
+			Call: call, Tenant: tenant, Collection: r.Collection, Query: r.Query, Limit: r.Limit, Deadline: start.Add(r.DeadlineMS),
+		}
+	})
+	if !ok {
+		return caller.SearchAnswer{}, gone()
+	}
+	in.metrics.searched(in.clock.Now().Sub(start))
+	switch c := c.(type) {
+	case node.AnswerSearch:
+		return in.searchAnswer(start, c)
+	case node.RefuseCall:
+		return caller.SearchAnswer{}, refusal(c.Refusal, c.RetryAfter)
+	}
+	return caller.SearchAnswer{}, gone()
+}
+
+func gone() *caller.Error {
+	return &caller.Error{Code: caller.CodeUnknownOutcome, Message: "the caller went away", Outcome: caller.OutcomeUnknown}
+}
+
+// searchAnswer returns a query that was not run at all as a refusal.
+func (in *Instance) searchAnswer(start clock.Time, c node.AnswerSearch) (caller.SearchAnswer, error) {
+	a := c.Answer
+	missing := make([]caller.MissingShards, 0, len(a.Coverage.Missing))
+	for _, m := range a.Coverage.Missing {
+		missing = append(missing, caller.MissingShards{Shards: m.Shards, Reason: m.Reason})
+	}
+	if a.Outcome == query.OutcomeNotRun {
+		return caller.SearchAnswer{}, notRun(a, missing)
+	}
+	return caller.SearchAnswer{
+		RequestID: a.Request.Entry.String() + "-" + strconv.FormatUint(a.Request.Seq, 10),
+		Snapshot:  a.Snapshot,
+		Config:    uint64(c.Config),
+		Coverage:  caller.Coverage{Total: a.Coverage.Total, Answered: a.Coverage.Answered, Missing: missing},
+		Hits:      a.Hits,
+		LatencyMS: in.clock.Now().Sub(start),
+	}, nil
+}
+
+func notRun(a query.Answer, missing []caller.MissingShards) *caller.Error {
+	code, why := caller.CodeUnavailable, "no shard could be reached"
+	if len(missing) > 0 {
+		why += " (" + string(missing[0].Reason) + ")"
+	}
+	return caller.NotRun(code, a.RetryAfter, why)
+}
+
+var refusals = map[node.Refusal]struct {
+	code    caller.Code
+	message string
+}{
+	node.RefusedUnknownCollection: {caller.CodeNotFound, "no such collection"},
+	node.RefusedForbidden:         {caller.CodeForbidden, "the tenant may not use the collection"},
+	node.RefusedOverloaded:        {caller.CodeOverloaded, "over the rate that can be answered in time"},
+	node.RefusedQuarantined:       {caller.CodeQuarantined, "this exact request has crashed targets"},
+	node.RefusedIsolated:          {caller.CodeIsolated, "the instance is cut off from the others"},
+	node.RefusedUnavailable:       {caller.CodeUnavailable, "not available at present"},
+	node.RefusedStopping:          {caller.CodeStopping, "the instance is stopping"},
+}
+
+func refusal(r node.Refusal, retryAfter clock.Duration) *caller.Error {
+	e := refusals[r]
+	return caller.NotRun(e.code, retryAfter, e.message)
+}
+
+// Run implements caller.Backend.
+func (in *Instance) Run(ctx context.Context, tenant topology.TenantID, r caller.RunRequest) (caller.RunAnswer, error) {
+	start := in.clock.Now()
+	c, ok := in.request(ctx, func(call node.CallID) node.Event {
+		return node.RunArrived{
+			Call: call, Tenant: tenant, Collection: r.Collection, Key: r.Key, Payload: r.Payload,
+			Deadline: start.Add(r.DeadlineMS), At: in.clock.UnixMillis(),
+		}
+	})
+	if !ok {
+		return caller.RunAnswer{}, gone()
+	}
+	switch c := c.(type) {
+	case node.RefuseCall:
+		return caller.RunAnswer{}, refusal(c.Refusal, c.RetryAfter)
+	case node.AnswerRun:
+		return runAnswer(c)
+	}
+	return caller.RunAnswer{}, gone()
+}
+
+func runAnswer(c node.AnswerRun) (caller.RunAnswer, error) {
+	switch c.Outcome {
+	case node.RunAnswered:
+		return caller.RunAnswer{Outcome: caller.OutcomeAnswered, Receipt: c.Receipt, Recorded: c.Recorded}, nil
+	case node.RunNotRun:
+		if c.Refusal != "" {
+			return caller.RunAnswer{}, refusal(c.Refusal, c.RetryAfter)
+		}
+		return caller.RunAnswer{}, caller.NotRun(caller.CodeUnavailable, c.RetryAfter, "no target took the request")
+	default:
+		return caller.RunAnswer{}, &caller.Error{
+			Code: caller.CodeUnknownOutcome, Outcome: caller.OutcomeUnknown,
+			Message: "the request may have run; repeat it with the same key to learn the recorded outcome",
+		}
+	}
+}
+
+// addHealth adds the routes that the balancer and the metrics collector use.
+func (in *Instance) addHealth(e *echo.Echo) {
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c echo.Context) error {
+		if !in.ready.Load() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", echo.WrapHandler(in.metrics.handler()))
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"knapweedstall/core/node"
 	"knapweedstall/core/topology"
 	"knapweedstall/io/caller"
+	"knapweedstall/io/operator"
 	"knapweedstall/io/peer"
 	"knapweedstall/io/platform"
 	"knapweedstall/io/target"
@@ -26,10 +27,11 @@
 )
 
 const (
-	tickPeriod  = 5 * time.Millisecond
-	listPeriod  = time.Second
-	watchWait   = 5 * clock.Second
-	retryPeriod = 200 * time.Millisecond
+	eventQueue = 65536
+	// targetConnections bounds the connections to one target; a holder has at
+	// most its share of the slots in flight, and a cancelled call may still
+	// occupy one while the next starts.
+	targetConnections = 8
 )
 
 // Instance is one running member of the tier.
@@ -39,65 +41,63 @@
 	self     topology.Member
 	clock    clock.Clock
 	log      *log.Logger
-	node     *node.Node
+	nodeOpts []node.Option
+	node     *node.Node // used by the loop's goroutine only
 	events   chan node.Event
+	requests chan func()
 	hub      *peer.Hub
 	targets  *target.Client
 	platform *platform.Client
-	config   atomic.Uint64
-	calls    atomic.Uint64
+	metrics  *metrics
+	header   atomic.Pointer[message.Header]
+	ready    atomic.Bool
+	lastCall atomic.Uint64
+	stopped  chan struct{} // closed when a graceful stop is complete
+	aborted  chan struct{} // closed by Abort
 
 	mu      sync.Mutex
-	waiting map[node.CallID]chan node.SearchAnswer
+	waiting map[node.CallID]chan node.Command
+	calls   map[node.TargetCallID]*targetCall
+	watch   context.CancelFunc // ends the present watch; nil when there is none
+}
+
+// Option changes an Instance.
+type Option func(*Instance)
+
+// WithNodeOptions passes options on to the node.
+func WithNodeOptions(opts ...node.Option) Option {
+	return func(in *Instance) { in.nodeOpts = append(in.nodeOpts, opts...) }
 }
 
 // New returns an instance that is not yet running.
-func New(s settings.Settings, incarnation topology.Incarnation, logger *log.Logger) *Instance {
-	self := topology.Member{
-		Ref:     topology.InstanceRef{ID: s.Instance, Incarnation: incarnation},
-		Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, State: topology.MemberLive,
-	}
+func New(s settings.Settings, incarnation topology.Incarnation, logger *log.Logger, opts ...Option) *Instance {
 	in := &Instance{
-		settings: s, self: self, clock: clock.NewSystem(), log: logger,
+		settings: s, clock: clock.NewSystem(), log: logger,
+		self: topology.Member{
+			Ref:     topology.InstanceRef{ID: s.Instance, Incarnation: incarnation},
+			Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, State: topology.MemberLive,
+		},
 		tokens:   map[string]topology.TenantID{},
-		node:     node.New(self),
-		events:   make(chan node.Event, 65536),
-		targets:  target.NewClient(8),
-		platform: platform.NewClient(s.Platform),
-		waiting:  map[node.CallID]chan node.SearchAnswer{},
+		events:   make(chan node.Event, eventQueue),
+		requests: make(chan func(), 256),
+		targets:  target.NewClient(targetConnections, s.Timeouts.TargetDialMS),
+		platform: platform.NewClient(s.Platform, platform.WithTimeout(s.Timeouts.PlatformCallMS)),
+		metrics:  newMetrics(),
+		stopped:  make(chan struct{}),
+		aborted:  make(chan struct{}),
+		waiting:  map[node.CallID]chan node.Command{},
+		calls:    map[node.TargetCallID]*targetCall{},
+	}
+	for _, o := range opts {
+		o(in)
 	}
 	for _, c := range s.Callers {
 		in.tokens[string(c.Token)] = c.Tenant
 	}
-	in.hub = peer.NewHub(self, string(s.PeerToken), in, in.header)
+	in.header.Store(&message.Header{})
 	return in
 }
 
-// Serve runs the instance until ctx ends.
-func (in *Instance) Serve(ctx context.Context) error {
-	callers, err := net.Listen("tcp", in.settings.Listen.Callers)
-	if err != nil {
-		return errors.WithStack(&ListenError{in.settings.Listen.Callers, err})
-	}
-	peers, err := net.Listen("tcp", in.settings.Listen.Peers)
-	if err != nil {
-		return errors.WithStack(&ListenError{in.settings.Listen.Peers, err})
-	}
-	mux := http.NewServeMux()
-	mux.Handle(peer.Path, in.hub)
-	callerServer := &http.Server{Handler: caller.NewServer(in, in.tokens), ReadHeaderTimeout: 5 * time.Second}
-	peerServer := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = callerServer.Serve(callers) }()
-	go func() { _ = peerServer.Serve(peers) }()
-	go in.watchStore(ctx)
-	go in.listMembers(ctx)
-	in.loop(ctx)
-	in.hub.Close()
-	_ = callerServer.Close()
-	_ = peerServer.Close()
-	return nil
-}
-
 // ListenError says that an address could not be listened on.
 type ListenError struct {
 	Address string
@@ -110,155 +110,101 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
 
-func (in *Instance) loop(ctx context.Context) {
-	tick := time.NewTicker(tickPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-in.events:
-			in.apply(ctx, e)
-		case <-tick.C:
-			in.apply(ctx, node.Tick{})
-		}
-	}
+// servers are the HTTP servers of an instance.
+type servers struct {
+	callers, peers, operators *http.Server
 }
 
-func (in *Instance) apply(ctx context.Context, e node.Event) {
-	commands := in.node.Handle(in.clock.Now(), e)
-	in.config.Store(in.node.Config())
-	for _, c := range commands {
-		in.execute(ctx, c)
-	}
-}
-
-func (in *Instance) execute(ctx context.Context, c node.Command) {
-	switch c := c.(type) {
-	case node.AnswerSearch:
-		in.mu.Lock()
-		done := in.waiting[c.Call]
-		delete(in.waiting, c.Call)
-		in.mu.Unlock()
-		if done != nil {
-			done <- c.Answer
-		}
-	case node.SendPeer:
-		in.hub.Send(c.To, c.Body)
-	case node.CallTarget:
-		go in.callTarget(ctx, c)
-	}
-}
-
-func (in *Instance) callTarget(ctx context.Context, c node.CallTarget) {
-	left := c.Deadline.Sub(in.clock.Now())
-	ctx, cancel := context.WithTimeout(ctx, left.Std())
-	defer cancel()
-	deadline := in.clock.UnixMillis() + int64(left)
-	call := target.Call{Address: c.Address, Snapshot: c.Snapshot, StartByUnixMS: deadline, DeadlineUnixMS: deadline}
-	for _, s := range c.Items {
-		call.Items = append(call.Items, target.Item{ID: fmt.Sprint(s.ID), Tenant: s.Tenant, Shards: s.Shards, Query: s.Query, Limit: s.Limit})
-	}
-	a, err := in.targets.Do(ctx, call)
-	if err != nil || a.Status != target.CallOK {
-		in.events <- node.TargetFailed{Call: c.Call}
-		return
-	}
-	e := node.TargetAnswered{Call: c.Call}
-	for _, item := range a.Items {
-		e.Items = append(e.Items, node.ItemAnswer{Tenant: item.Tenant, Snapshot: item.Snapshot, Status: item.Status, Snapshots: item.Snapshots, Shards: item.Shards})
-	}
-	in.events <- e
-}
-
-func (in *Instance) watchStore(ctx context.Context) {
-	var since int64
-	for ctx.Err() == nil {
-		objects, revision, err := in.platform.Watch(ctx, []string{"tickets/"}, since, watchWait)
+// Serve runs the instance until ctx ends, and then stops it gracefully: it
+// finishes what is in progress and hands its shares over first.
+func (in *Instance) Serve(ctx context.Context) error {
+	var listeners [3]net.Listener
+	l := in.settings.Listen
+	for i, address := range []string{l.Callers, l.Peers, l.Operators} {
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			time.Sleep(retryPeriod)
-			continue
-		}
-		since = revision
-		read := node.ObjectsRead{}
-		for _, o := range objects {
-			read.Objects = append(read.Objects, node.Object{Key: o.Key, Version: o.Version, Value: o.Value})
-		}
-		in.events <- read
-	}
-}
-
-func (in *Instance) listMembers(ctx context.Context) {
-	registered := false
-	for ctx.Err() == nil {
-		if !registered {
-			registered = in.platform.Register(ctx, in.self) == nil
+			return errors.WithStack(&ListenError{address, err})
 		}
-		if members, err := in.platform.Instances(ctx); err == nil {
-			in.events <- node.MembersListed{Members: members}
+		defer func() { _ = listener.Close() }()
+		listeners[i] = listener
+	}
+	in.self.Address = peerAddress(in.settings, listeners[1])
+	opts := append([]node.Option{node.WithSeed(uint64(in.self.Ref.Incarnation))}, in.nodeOpts...)
+	in.node = node.New(in.clock.Now(), in.self, opts...)
+	in.hub = peer.NewHub(in.self, string(in.settings.PeerToken), in, func() message.Header { return *in.header.Load() })
+	// The loop outlives ctx: a graceful stop needs it.
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := in.startServers(listeners)
+	var background sync.WaitGroup
+	background.Go(func() { in.loop(work) })
+	background.Go(func() { in.listMembers(work) })
+	in.log.Info("serving", "code", "serving", "callers", l.Callers, "peers", l.Peers, "operators", l.Operators)
+	select {
+	case <-ctx.Done():
+		in.stop(s)
+	case <-in.aborted:
+		for _, srv := range []*http.Server{s.callers, s.peers, s.operators} {
+			_ = srv.Close() // connections in use are cut, as by a crash
 		}
-		time.Sleep(listPeriod)
 	}
+	cancel()
+	in.hub.Close()
+	background.Wait()
+	return nil
 }
 
-func (in *Instance) header() message.Header {
-	return message.Header{Config: in.config.Load(), SentAt: in.clock.Now()}
-}
+// Abort ends the instance at once, as a crash would. It is called at most once.
+func (in *Instance) Abort() { close(in.aborted) }
 
-// Search implements caller.Backend.
-func (in *Instance) Search(ctx context.Context, tenant topology.TenantID, r caller.SearchRequest) (caller.SearchAnswer, error) {
-	start := in.clock.Now()
-	call := node.CallID(in.calls.Add(1))
-	done := make(chan node.SearchAnswer, 1)
-	in.mu.Lock()
-	in.waiting[call] = done
-	in.mu.Unlock()
-	in.events <- node.SearchArrived{Call: call, Tenant: tenant, Collection: r.Collection, Query: r.Query, Limit: r.Limit, Deadline: start.Add(r.DeadlineMS)}
-	select {
-	case a := <-done:
-		return in.searchAnswer(call, start, a), nil
-	case <-ctx.Done():
-		in.events <- node.CallerGone{Call: call}
-		return caller.SearchAnswer{}, &caller.Error{Code: caller.CodeUnavailable, Message: "the caller went away", Outcome: caller.OutcomeUnknown}
+// peerAddress returns the address under which peers reach this instance. With
+// port 0 it is known only after listening.
+func peerAddress(s settings.Settings, l net.Listener) string {
+	if s.PeerAddress == s.Listen.Peers {
+		return l.Addr().String()
 	}
+	return s.PeerAddress
 }
 
-func (in *Instance) searchAnswer(call node.CallID, start clock.Time, a node.SearchAnswer) caller.SearchAnswer {
-	byReason := map[message.Reason][]topology.ShardID{}
-	for shard, reason := range a.Missing {
-		byReason[reason] = append(byReason[reason], shard)
+func (in *Instance) startServers(listeners [3]net.Listener) servers {
+	peers := http.NewServeMux()
+	peers.Handle(peer.Path, in.hub)
+	t := in.settings.Timeouts
+	server := func(h http.Handler) *http.Server {
+		return &http.Server{Handler: h, ReadHeaderTimeout: t.ReadHeaderMS.Std(), IdleTimeout: t.IdleMS.Std()}
 	}
-	missing := []caller.MissingShards{}
-	for reason, shards := range byReason {
-		missing = append(missing, caller.MissingShards{Shards: shards, Reason: reason})
+	s := servers{
+		callers:   server(in.callerHandler()),
+		peers:     server(peers),
+		operators: server(operator.NewServer(in, string(in.settings.AdminToken))),
 	}
-	return caller.SearchAnswer{
-		RequestID: fmt.Sprintf("%s-%d", in.self.Ref, call), Snapshot: a.Snapshot, Config: a.Config,
-		Coverage: caller.Coverage{Total: a.Total, Answered: a.Answered, Missing: missing},
-		Hits:     a.Hits, LatencyMS: in.clock.Now().Sub(start),
+	for i, srv := range []*http.Server{s.callers, s.peers, s.operators} {
+		go func() { _ = srv.Serve(listeners[i]) }() // ends with http.ErrServerClosed at the stop
 	}
+	return s
 }
 
-// Run implements caller.Backend. Requests that may not be repeated need the
-// claim journal, which this version does not have.
-func (in *Instance) Run(context.Context, topology.TenantID, caller.RunRequest) (caller.RunAnswer, error) {
-	return caller.RunAnswer{}, caller.NotRun(caller.CodeUnavailable, 0, "requests that may not be repeated are not supported yet")
-}
-
-// PeerConnected implements peer.Handler.
-func (in *Instance) PeerConnected(m topology.Member) { in.events <- node.PeerConnected{Member: m} }
-
-// PeerReceived implements peer.Handler.
-func (in *Instance) PeerReceived(from topology.InstanceRef, h message.Header, bodies []message.Body) {
-	in.events <- node.PeerReceived{From: from, Header: h, Bodies: bodies}
-}
-
-// PeerLost implements peer.Handler.
-func (in *Instance) PeerLost(ref topology.InstanceRef, terminated bool) {
-	in.events <- node.PeerLost{Ref: ref, Terminated: terminated}
+func (in *Instance) callerHandler() http.Handler {
+	c := caller.NewServer(in, in.tokens, caller.WithMaxConcurrent(in.settings.Limits.Queries))
+	in.addHealth(c.Echo())
+	return c
 }
 
-// PeerFault implements peer.Handler.
-func (in *Instance) PeerFault(ref topology.InstanceRef, err error) {
-	in.log.Warn("peer sent a malformed frame", "code", "peerFault", "peer", ref.String(), "err", err)
+// stop ends the instance gracefully. The servers close last, so that no caller
+// that still reaches this instance is cut.
+func (in *Instance) stop(s servers) {
+	in.ready.Store(false)
+	in.events <- node.StopRequested{}
+	ctx, cancel := context.WithTimeout(context.Background(), in.settings.Timeouts.ShutdownMS.Std())
+	defer cancel()
+	in.markLeaving(ctx)
+	select {
+	case <-in.stopped:
+	case <-ctx.Done():
+	}
+	_ = s.callers.Shutdown(ctx)   // waits for the requests in progress
+	_ = s.operators.Shutdown(ctx) // likewise
+	_ = in.platform.Deregister(ctx, in.self.Ref.ID)
+	_ = s.peers.Close()
+	time.Sleep(10 * time.Millisecond) // lets the last replies to peers leave
 }
--- /dev/null
+++ b/instance/loop.go
@@ -0,0 +1,176 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"knapweedstall/core/node"
+)
+
+// loop feeds the node and carries out its commands. It is the only goroutine
+// that uses the node.
+func (in *Instance) loop(ctx context.Context) {
+	period := node.TickPeriod.Std()
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	nextTick := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-in.events:
+			in.apply(ctx, e)
+			in.drain(ctx)
+		case f := <-in.requests:
+			f()
+		case <-timer.C:
+			in.apply(ctx, node.Tick{UnixMS: in.clock.UnixMillis()})
+		}
+		if now := time.Now(); !now.Before(nextTick) {
+			in.apply(ctx, node.Tick{UnixMS: in.clock.UnixMillis()})
+			in.publish()
+			nextTick = now.Add(period)
+		}
+		timer.Reset(in.untilWake(nextTick))
+	}
+}
+
+// drain handles the events that are already waiting, at most as many as fit one
+// tick, so that a full queue does not delay the timers.
+func (in *Instance) drain(ctx context.Context) {
+	for range 64 {
+		select {
+		case e := <-in.events:
+			in.apply(ctx, e)
+		default:
+			return
+		}
+	}
+}
+
+func (in *Instance) untilWake(nextTick time.Time) time.Duration {
+	wait := time.Until(nextTick)
+	if at := in.node.NextWake(); at != 0 {
+		wait = min(wait, at.Sub(in.clock.Now()).Std())
+	}
+	return max(wait, 0)
+}
+
+func (in *Instance) apply(ctx context.Context, e node.Event) {
+	now := in.clock.Now()
+	commands := in.node.Handle(now, e)
+	header := in.node.Header(now)
+	in.header.Store(&header)
+	for _, c := range commands {
+		in.execute(ctx, c)
+	}
+}
+
+// publish makes what other goroutines read of the node current.
+func (in *Instance) publish() {
+	in.ready.Store(in.node.Ready(in.clock.Now()))
+	in.metrics.update(in.node.Counters(), uint64(in.node.Log().Number()), in.hub.SentBytes())
+}
+
+func (in *Instance) execute(ctx context.Context, c node.Command) {
+	switch c := c.(type) {
+	case node.AnswerSearch:
+		in.answer(c.Call, c)
+	case node.RefuseCall:
+		in.answer(c.Call, c)
+	case node.AnswerRun:
+		in.answer(c.Call, c)
+	case node.AnswerTicket:
+		in.answer(c.Call, c)
+	case node.SendPeer:
+		in.hub.Send(c.To, c.Body)
+	case node.CallTarget:
+		in.callTarget(ctx, c)
+	case node.CancelTarget:
+		in.cancelTarget(ctx, c)
+	case node.ReadObject:
+		go in.readObject(ctx, c)
+	case node.WriteObject:
+		go in.writeObject(ctx, c)
+	case node.ListObjects:
+		go in.listObjects(ctx, c)
+	case node.WatchStore:
+		in.watchStore(ctx, c)
+	case node.LogRecord:
+		in.logRecord(c)
+	case node.Stopped:
+		close(in.stopped)
+	}
+}
+
+func (in *Instance) logRecord(r node.LogRecord) {
+	attrs := []any{"code", r.Code}
+	for _, a := range r.Attrs {
+		attrs = append(attrs, a.Key, a.Value)
+	}
+	switch r.Level {
+	case node.LevelError:
+		in.log.Error(r.Code, attrs...)
+	case node.LevelWarn:
+		in.log.Warn(r.Code, attrs...)
+	default:
+		in.log.Info(r.Code, attrs...)
+	}
+}
+
+// post delivers an event unless the instance has ended.
+func (in *Instance) post(ctx context.Context, e node.Event) {
+	select {
+	case in.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f in the loop's goroutine and waits for it. It reports false when
+// ctx ends first.
+func (in *Instance) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case in.requests <- func() { f(); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// answer hands a final command to the request that waits for it.
+func (in *Instance) answer(call node.CallID, c node.Command) {
+	in.mu.Lock()
+	done := in.waiting[call]
+	delete(in.waiting, call)
+	in.mu.Unlock()
+	if done != nil {
+		done <- c
+	}
+}
+
+// request registers a call, delivers its event and waits for its answer. It
+// reports false when the caller went away first.
+func (in *Instance) request(ctx context.Context, event func(node.CallID) node.Event) (node.Command, bool) {
+	call := node.CallID(in.lastCall.Add(1))
+	done := make(chan node.Command, 1)
+	in.mu.Lock()
+	in.waiting[call] = done
+	in.mu.Unlock()
+	in.events <- event(call)
+	select {
+	case c := <-done:
+		return c, true
+	case <-ctx.Done():
+		in.mu.Lock()
+		delete(in.waiting, call)
+		in.mu.Unlock()
+		in.events <- node.CallerGone{Call: call}
+		return nil, false
+	}
+}
--- /dev/null
+++ b/instance/operators.go
@@ -0,0 +1,147 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"knapweedstall/core/node"
+	"knapweedstall/core/ticket"
+	"knapweedstall/io/operator"
+)
+
+const filingRetryMS = 1000
+
+// File implements operator.Backend.
+func (in *Instance) File(ctx context.Context, body []byte) (operator.Accepted, error) {
+	t, err := ticket.Decode(body)
+	if err != nil {
+		return operator.Accepted{}, operatorError(err)
+	}
+	if t.FilingID == "" {
+		t.FilingID = ticket.FilingID(fmt.Sprintf("%016x", rand.Uint64()))
+	}
+	t.At = in.clock.UnixMillis()
+	c, ok := in.request(ctx, func(call node.CallID) node.Event {
+		return node.TicketFiled{Call: call, Ticket: t}
+	})
+	answer, isTicket := c.(node.AnswerTicket)
+	if !ok || !isTicket {
+		return operator.Accepted{}, &operator.Error{Code: operator.CodeUnknownOutcome, Message: "the operator went away"}
+	}
+	if answer.Err != nil {
+		return operator.Accepted{}, operatorError(answer.Err)
+	}
+	return operator.Accepted{Number: uint64(answer.Ticket.Number), FilingID: string(answer.Ticket.FilingID)}, nil
+}
+
+// operatorError translates an error of package ticket.
+func operatorError(err error) *operator.Error {
+	var fault *ticket.FaultError
+	var conflict *ticket.ConflictError
+	var gap *ticket.GapError
+	var unavailable *ticket.UnavailableError
+	switch {
+	case errors.As(err, &fault):
+		return &operator.Error{Code: operator.CodeInvalid, Message: "the ticket is not valid", Faults: []string{fault.Error()}}
+	case errors.As(err, &conflict):
+		return &operator.Error{
+			Code: operator.CodeConflict, Message: conflict.Error(),
+			Winner: string(conflict.WinnerOperator), WinnerFiling: string(conflict.Winner),
+		}
+	case errors.As(err, &gap):
+		return &operator.Error{Code: operator.CodeBehind, Message: gap.Error(), InForce: uint64(gap.InForce)}
+	case errors.As(err, &unavailable) && unavailable.Unknown:
+		return &operator.Error{Code: operator.CodeUnknownOutcome, Message: unavailable.Error(), RetryAfterMS: filingRetryMS}
+	default:
+		return &operator.Error{Code: operator.CodeUnavailable, Message: err.Error(), RetryAfterMS: filingRetryMS}
+	}
+}
+
+// auditRecord is a ticket.Record in the operators' JSON.
+type auditRecord struct {
+	Number   ticket.Number   `json:"number"`
+	FilingID ticket.FilingID `json:"filingId"`
+	Operator ticket.Operator `json:"operator"`
+	At       int64           `json:"at"` // Unix ms
+	Scope    ticket.Scope    `json:"scope"`
+	Before   ticket.Value    `json:"before"` // null when the scope was not set
+	After    ticket.Value    `json:"after"`  // null when the scope was removed
+}
+
+// Audit implements operator.Backend. It knows the tickets that this instance
+// remembers; older ones are in the store.
+func (in *Instance) Audit(ctx context.Context, number uint64) (json.RawMessage, error) {
+	records, err := in.records(ctx, func(r ticket.Record) bool { return r.Number == ticket.Number(number) }, operator.MaxListed)
+	if err != nil {
+		return nil, err
+	}
+	if len(records) == 0 {
+		return nil, &operator.Error{Code: operator.CodeNotFound, Message: "this instance does not remember the ticket; see the object tickets/N in the platform's store"}
+	}
+	return encode(records)
+}
+
+// List implements operator.Backend.
+func (in *Instance) List(ctx context.Context, from uint64, limit int) (json.RawMessage, error) {
+	records, err := in.records(ctx, func(r ticket.Record) bool { return r.Number >= ticket.Number(from) }, limit)
+	if err != nil {
+		return nil, err
+	}
+	for i := range records {
+		records[i].Before, records[i].After = nil, nil // see audit for the values
+	}
+	return encode(records)
+}
+
+func (in *Instance) records(ctx context.Context, wanted func(ticket.Record) bool, limit int) ([]auditRecord, error) {
+	out := []auditRecord{}
+	ok := in.ask(ctx, func() {
+		for _, r := range in.node.Log().Audit() {
+			if wanted(r) && len(out) < limit {
+				out = append(out, auditRecord(r))
+			}
+		}
+	})
+	return out, busyUnless(ok)
+}
+
+// State implements operator.Backend.
+func (in *Instance) State(ctx context.Context) (json.RawMessage, error) {
+	var state *ticket.State
+	if err := busyUnless(in.ask(ctx, func() { state = in.node.Log().State() })); err != nil {
+		return nil, err
+	}
+	data, err := ticket.EncodeCheckpoint(state)
+	if err != nil {
+		return nil, operatorError(err)
+	}
+	return data, nil
+}
+
+// Status implements operator.Backend.
+func (in *Instance) Status(ctx context.Context) (json.RawMessage, error) {
+	var status node.Status
+	if err := busyUnless(in.ask(ctx, func() { status = in.node.Status(in.clock.Now()) })); err != nil {
+		return nil, err
+	}
+	return encode(status)
+}
+
+// busyUnless keeps a nil *operator.Error from becoming a non-nil error.
+func busyUnless(ok bool) error {
+	if ok {
+		return nil
+	}
+	return &operator.Error{Code: operator.CodeUnavailable, Message: "the instance is busy or stopping", RetryAfterMS: filingRetryMS}
+}
+
+func encode(v any) (json.RawMessage, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, &operator.Error{Code: operator.CodeUnavailable, Message: err.Error()}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/instance/store.go
@@ -0,0 +1,147 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/node"
+	"knapweedstall/core/object"
+	"knapweedstall/core/topology"
+	"knapweedstall/io/platform"
+)
+
+const (
+	// listPeriod is how often the watcher of a zone reads the instance list.
+	listPeriod = time.Second
+	// relaxedListPeriod is how often the others do; they learn of changes from
+	// their peers, so the reads grow slowly with the fleet.
+	relaxedListPeriod = 30 * time.Second
+	// watchWait is short enough for each reply to count as fresh proof that the
+	// store is reachable.
+	watchWait  = clock.Second
+	storeRetry = 200 * time.Millisecond
+)
+
+func (in *Instance) readObject(ctx context.Context, c node.ReadObject) {
+	o, err := in.platform.Get(ctx, string(c.Key))
+	result := object.ReadResult{Key: c.Key, Known: true}
+	var notFound *platform.NotFoundError
+	switch {
+	case err == nil:
+		result.Version, result.Value = object.Version(o.Version), o.Value
+	case !errors.As(err, &notFound):
+		result.Known = false
+	}
+	in.post(ctx, node.ObjectRead{Op: c.Op, Result: result})
+}
+
+func (in *Instance) writeObject(ctx context.Context, c node.WriteObject) {
+	version, err := in.platform.Put(ctx, string(c.Key), int64(c.Expect), c.Value)
+	result := object.WriteResult{Key: c.Key}
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		result.Status, result.Version = object.Written, object.Version(version)
+	case errors.As(err, &conflict):
+		result.Status = object.Conflict
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result.Status = object.NotSent
+	default:
+		result.Status = object.Unknown
+	}
+	in.post(ctx, node.ObjectWritten{Op: c.Op, Result: result})
+}
+
+// listObjects tries until it has listed the objects, since a new instance can't
+// start from nothing.
+func (in *Instance) listObjects(ctx context.Context, c node.ListObjects) {
+	for ctx.Err() == nil {
+		objects, revision, err := in.platform.Watch(ctx, c.Prefixes, c.Since, 0)
+		if err == nil {
+			in.post(ctx, node.ObjectsWatched{Revision: revision, Objects: stored(objects)})
+			return
+		}
+		in.post(ctx, node.StoreFailed{})
+		time.Sleep(storeRetry)
+	}
+}
+
+// watchStore starts or ends the watch.
+func (in *Instance) watchStore(ctx context.Context, c node.WatchStore) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.watch != nil {
+		in.watch()
+		in.watch = nil
+	}
+	if !c.On {
+		return
+	}
+	ctx, in.watch = context.WithCancel(ctx)
+	go in.watchObjects(ctx, c.Prefixes, c.Since)
+}
+
+func (in *Instance) watchObjects(ctx context.Context, prefixes []string, since int64) {
+	for ctx.Err() == nil {
+		objects, revision, err := in.platform.Watch(ctx, prefixes, since, watchWait)
+		if err != nil {
+			in.post(ctx, node.StoreFailed{})
+			time.Sleep(storeRetry)
+			continue
+		}
+		since = revision
+		in.post(ctx, node.ObjectsWatched{Revision: revision, Objects: stored(objects)})
+	}
+}
+
+func stored(objects []platform.Object) []message.StoredObject {
+	out := make([]message.StoredObject, 0, len(objects))
+	for _, o := range objects {
+		out = append(out, message.StoredObject{Key: o.Key, Version: o.Version, Value: o.Value})
+	}
+	return out
+}
+
+// listMembers registers this instance and keeps reading the instance list.
+func (in *Instance) listMembers(ctx context.Context) {
+	registered := false
+	for ctx.Err() == nil {
+		if !registered {
+			registered = in.platform.Register(ctx, in.self) == nil
+		}
+		members, err := in.platform.Instances(ctx)
+		period := listPeriod
+		if err == nil {
+			in.post(ctx, node.MembersListed{Members: members})
+			period = in.listPeriod()
+		} else {
+			in.post(ctx, node.StoreFailed{})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(period):
+		}
+	}
+}
+
+func (in *Instance) listPeriod() time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.watch != nil || !in.ready.Load() {
+		return listPeriod
+	}
+	return relaxedListPeriod
+}
+
+// markLeaving shows in the instance list that this instance is stopping.
+func (in *Instance) markLeaving(ctx context.Context) {
+	leaving := in.self
+	leaving.State = topology.MemberLeaving
+	if err := in.platform.Register(ctx, leaving); err != nil {
+		in.log.Warn("instance list not updated", "code", "listUnreachable", "err", err)
+	}
+}
--- /dev/null
+++ b/instance/targets.go
@@ -0,0 +1,126 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"knapweedstall/core/dispatch"
+	"knapweedstall/core/message"
+	"knapweedstall/core/node"
+	"knapweedstall/core/topology"
+	"knapweedstall/io/target"
+)
+
+// targetCall is a call in flight.
+type targetCall struct {
+	address string
+	id      string // names the call at the target
+	cancel  context.CancelFunc
+}
+
+func (in *Instance) callTarget(ctx context.Context, c node.CallTarget) {
+	left := c.Deadline.Sub(in.clock.Now())
+	ctx, cancel := context.WithTimeout(ctx, left.Std())
+	call := &targetCall{address: c.Address, id: in.callName(c.Call), cancel: cancel}
+	in.mu.Lock()
+	in.calls[c.Call] = call
+	in.mu.Unlock()
+	go func() {
+		defer cancel()
+		e := in.doTarget(ctx, call, c)
+		in.mu.Lock()
+		delete(in.calls, c.Call)
+		in.mu.Unlock()
+		in.events <- e
+	}()
+}
+
+func (in *Instance) callName(c node.TargetCallID) string {
+	return in.self.Ref.String() + "/" + strconv.FormatUint(uint64(c), 10)
+}
+
+func (in *Instance) doTarget(ctx context.Context, t *targetCall, c node.CallTarget) node.Event {
+	if t.address == "" {
+		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureNotSent}
+	}
+	wall, now := in.clock.UnixMillis(), in.clock.Now()
+	call := target.Call{
+		Address: t.address, ID: t.id, Run: c.Once, Snapshot: c.Snapshot,
+		StartByUnixMS:  wall + int64(c.StartBy.Sub(now)),
+		DeadlineUnixMS: wall + int64(c.Deadline.Sub(now)),
+	}
+	for _, item := range c.Items {
+		call.Items = append(call.Items, target.Item{
+			ID: strconv.FormatUint(uint64(item.ID), 10), Tenant: item.Tenant, Shards: item.Shards, Query: item.Query, Limit: item.Limit,
+		})
+	}
+	a, err := in.targets.Do(ctx, call)
+	if err != nil {
+		return node.TargetFailed{Call: c.Call, Failure: failureOf(err)}
+	}
+	switch a.Status {
+	case target.CallCancelled:
+		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureCancelled}
+	case target.CallDeadline:
+		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureTimeout}
+	}
+	return node.TargetAnswered{Call: c.Call, Fresh: a.Fresh, Answer: dispatchAnswer(a)}
+}
+
+func failureOf(err error) dispatch.Failure {
+	var notSent *target.NotSentError
+	var lost *target.LostError
+	switch {
+	case errors.As(err, &notSent):
+		return dispatch.FailureNotSent
+	case errors.As(err, &lost) && lost.Timeout:
+		return dispatch.FailureTimeout
+	default:
+		return dispatch.FailureLost
+	}
+}
+
+func dispatchAnswer(a target.Answer) dispatch.Answer {
+	out := dispatch.Answer{State: a.State, Bears: a.Bears, Status: dispatch.AnswerStatus(a.Status), RetryAfter: a.RetryAfterMS}
+	for _, item := range a.Items {
+		id, err := strconv.ParseUint(item.ID, 10, 64)
+		if err != nil {
+			continue // not an id of ours; the item counts as unanswered
+		}
+		out.Items = append(out.Items, dispatch.ItemAnswer{
+			ID: dispatch.ItemID(id), Tenant: item.Tenant, Snapshot: item.Snapshot,
+			Status: dispatch.ItemStatus(item.Status), Snapshots: item.Snapshots, Shards: item.Shards,
+		})
+	}
+	return out
+}
+
+// cancelTarget asks the target to give a call up. The call's own reply proves
+// that it did; closing the connection would prove nothing.
+func (in *Instance) cancelTarget(ctx context.Context, c node.CancelTarget) {
+	in.mu.Lock()
+	call := in.calls[c.Call]
+	in.mu.Unlock()
+	if call != nil {
+		go func() { _ = in.targets.Cancel(ctx, call.address, call.id) }() // without a reply the call runs to its deadline
+	}
+}
+
+// PeerConnected implements peer.Handler.
+func (in *Instance) PeerConnected(m topology.Member) { in.events <- node.PeerConnected{Member: m} }
+
+// PeerReceived implements peer.Handler.
+func (in *Instance) PeerReceived(from topology.InstanceRef, h message.Header, bodies []message.Body) {
+	in.events <- node.PeerReceived{From: from, Header: h, Bodies: bodies}
+}
+
+// PeerLost implements peer.Handler.
+func (in *Instance) PeerLost(ref topology.InstanceRef, terminated bool) {
+	in.events <- node.PeerLost{Ref: ref, Terminated: terminated}
+}
+
+// PeerFault implements peer.Handler.
+func (in *Instance) PeerFault(ref topology.InstanceRef, err error) {
+	in.log.Warn("peer sent a malformed frame", "code", "peerFault", "peer", ref.String(), "err", err)
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -40,17 +40,35 @@
 	echo    *echo.Echo
 	backend Backend
 	tokens  map[string]topology.TenantID
+	slots   chan struct{} // one for each request in progress
 }
 
+// Option changes a Server.
+type Option func(*Server)
+
+// WithMaxConcurrent bounds the requests in progress; the default is 4,096.
+// Further ones are refused at once.
+func WithMaxConcurrent(n int) Option {
+	return func(s *Server) { s.slots = make(chan struct{}, n) }
+}
+
+const (
+	defaultConcurrent = 4096
+	busyRetry         = 100 * clock.Millisecond
+)
+
 // NewServer returns a Server that authenticates callers by tokens, a map of
 // bearer tokens to tenants.
-func NewServer(backend Backend, tokens map[string]topology.TenantID) *Server {
-	s := &Server{echo: echo.New(), backend: backend, tokens: tokens}
+func NewServer(backend Backend, tokens map[string]topology.TenantID, opts ...Option) *Server {
+	s := &Server{echo: echo.New(), backend: backend, tokens: tokens, slots: make(chan struct{}, defaultConcurrent)}
+	for _, o := range opts {
+		o(s)
+	}
 	s.echo.HideBanner = true
 	s.echo.HidePort = true
 	s.echo.HTTPErrorHandler = writeError
-	s.echo.POST("/v1/query", s.query)
-	s.echo.POST("/v1/run", s.run)
+	s.echo.POST("/v1/query", s.query, s.bound)
+	s.echo.POST("/v1/run", s.run, s.bound)
 	return s
 }
 
@@ -60,6 +78,19 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
 
+// bound refuses requests beyond the number that may be in progress.
+func (s *Server) bound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+			return next(c)
+		default:
+			return NotRun(CodeOverloaded, busyRetry, "too many requests in progress")
+		}
+	}
+}
+
 func (s *Server) query(c echo.Context) error {
 	tenant, err := s.authenticate(c.Request())
 	if err != nil {
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -14,12 +14,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"knapweedstall/core/clock"
 )
 
 const (
 	maxAnswerBytes  = 8 << 20
 	idleConnTimeout = 30 * time.Second
-	dialTimeout     = 500 * time.Millisecond
+	cancelTimeout   = 200 * time.Millisecond
 )
 
 // NotSentError says that no byte of the call reached the target.
@@ -64,13 +66,13 @@
 }
 
 // NewClient returns a Client that keeps at most maxConns connections to each
-// target.
-func NewClient(maxConns int) *Client {
+// target and gives up dialling after dialTimeout.
+func NewClient(maxConns int, dialTimeout clock.Duration) *Client {
 	transport := &http.Transport{
 		MaxConnsPerHost:     maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     idleConnTimeout,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext,
 	}
 	return &Client{http: &http.Client{Transport: transport}}
 }
@@ -108,6 +110,23 @@
 	return a, err
 }
 
+// Cancel asks a target to give up the call with this id. The call itself then
+// ends with the status CallCancelled; it may also have ended already.
+func (c *Client) Cancel(ctx context.Context, address, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/cancel", nil)
+	if err != nil {
+		return errors.WithStack(&NotSentError{Cause: err})
+	}
+	req.Header.Set(HeaderCall, id)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return lost(ctx, err)
+	}
+	return resp.Body.Close()
+}
+
 func newRequest(ctx context.Context, call Call, body []byte) (*http.Request, error) {
 	path := "/v1/search"
 	if call.Run {
@@ -118,6 +137,7 @@
 		return nil, errors.WithStack(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(HeaderCall, call.ID)
 	req.Header.Set(HeaderStartBy, strconv.FormatInt(call.StartByUnixMS, 10))
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(call.DeadlineUnixMS, 10))
 	return req, nil
@@ -129,7 +149,9 @@
 
 func parseAnswer(status int, data []byte) (Answer, error) {
 	var a Answer
-	if status != http.StatusOK && status != http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusOK, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	default:
 		return a, errors.WithStack(&ProtocolError{Status: status})
 	}
 	if err := json.Unmarshal(data, &a); err != nil {
@@ -140,7 +162,7 @@
 		return a, nil
 	}
 	switch a.Status {
-	case CallShed, CallLate, CallDraining:
+	case CallShed, CallLate, CallDraining, CallCancelled, CallDeadline:
 		return a, nil
 	default:
 		return a, errors.WithStack(&ProtocolError{Status: status})
--- a/io/target/wire.go
+++ b/io/target/wire.go
@@ -10,6 +10,7 @@
 
 // Headers of a call.
 const (
+	HeaderCall     = "X-Call-Id" // names a call for POST /v1/cancel
 	HeaderStartBy  = "X-Start-By-Unix-Ms"
 	HeaderDeadline = "X-Deadline-Unix-Ms"
 )
@@ -26,6 +27,7 @@
 // Call is one request to a target.
 type Call struct {
 	Address        string // host:port
+	ID             string // unique; names the call for Cancel
 	Run            bool   // the item may not be repeated: POST /v1/run
 	Snapshot       topology.SnapshotID
 	Items          []Item // exactly one when Run is set
@@ -41,12 +43,16 @@
 // CallStatus is the target's verdict on a whole call.
 type CallStatus string
 
-// Verdicts. All but CallOK promise that nothing was run.
+// Verdicts. CallShed, CallLate and CallDraining promise that nothing was run;
+// CallCancelled and CallDeadline only say that the call has ended.
 const (
 	CallOK       CallStatus = "ok"
 	CallShed     CallStatus = "shed"
 	CallLate     CallStatus = "late"
 	CallDraining CallStatus = "draining"
+
+	CallCancelled CallStatus = "cancelled"
+	CallDeadline  CallStatus = "deadline"
 )
 
 // ItemAnswer is the answer to one Item.
--- a/main.go
+++ b/main.go
@@ -2,17 +2,9 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"knapweedstall/cmd"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := cmd.Main(ctx, os.Args)
-	stop()
-	os.Exit(code)
-}
+func main() { os.Exit(cmd.Main(os.Args)) }
--- /dev/null
+++ b/tier/tier.go
@@ -0,0 +1,363 @@
+// Package tier runs a whole deployment in one process, on loopback ports: the
+// platform and target stand-ins and several instances. The demo, the load
+// experiments and tests use it.
+package tier
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/node"
+	"knapweedstall/core/topology"
+	"knapweedstall/deployment"
+	"knapweedstall/emulator/platform"
+	"knapweedstall/emulator/target"
+	"knapweedstall/instance"
+	"knapweedstall/io/operator"
+	"knapweedstall/settings"
+)
+
+// Tokens of a tier; it only listens on loopback.
+const (
+	adminToken = "tier-admin-0123456789"
+	peerToken  = "tier-peers-0123456789"
+)
+
+// TimeoutError says that something did not happen within its bound.
+type TimeoutError struct {
+	What  string
+	Limit time.Duration
+}
+
+// Error implements error.
+func (e *TimeoutError) Error() string { return fmt.Sprintf("not within %v: %s", e.Limit, e.What) }
+
+// Tier is a running deployment.
+type Tier struct {
+	Deployment deployment.Deployment
+	Platform   *platform.Server
+	Targets    *target.Fleet
+	opts       options
+
+	mu      sync.Mutex
+	members []*Member
+	started int // members started so far
+}
+
+// Member is one instance of the tier.
+type Member struct {
+	ID       topology.InstanceID
+	Zone     topology.ZoneID
+	Callers  string // host:port
+	Operator string
+	instance *instance.Instance
+	platform *httptest.Server // this member's way to the platform
+	cut      atomic.Bool
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+type options struct {
+	instances int
+	fleet     []target.FleetOption
+	node      []node.Option
+	log       io.Writer
+}
+
+// Option changes how a Tier is started.
+type Option func(*options)
+
+// WithInstances sets the number of instances; the default is the deployment's.
+func WithInstances(n int) Option { return func(o *options) { o.instances = n } }
+
+// WithFleet passes options on to the target stand-ins.
+func WithFleet(opts ...target.FleetOption) Option {
+	return func(o *options) { o.fleet = append(o.fleet, opts...) }
+}
+
+// WithNode passes options on to the node of every instance.
+func WithNode(opts ...node.Option) Option {
+	return func(o *options) { o.node = append(o.node, opts...) }
+}
+
+// WithLog writes the instances' logs to w; by default they are dropped.
+func WithLog(w io.Writer) Option { return func(o *options) { o.log = w } }
+
+// Start starts the deployment and files its first ticket. It returns when every
+// instance has the ticket in force and all services are held.
+func Start(d deployment.Deployment, opts ...Option) (*Tier, error) {
+	o := options{instances: d.Instances, log: io.Discard}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	fleet, err := target.StartFleet(d.Collections, d.Snapshots, o.fleet...)
+	if err != nil {
+		return nil, err
+	}
+	d.Collections = fleet.Collections()
+	t := &Tier{Deployment: d, Platform: platform.NewServer(), Targets: fleet, opts: o}
+	for range o.instances {
+		if _, err := t.Add(); err != nil {
+			t.Close()
+			return nil, err
+		}
+	}
+	if err := t.setUp(); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+const startLimit = 20 * time.Second
+
+func (t *Tier) setUp() error {
+	first, err := t.Deployment.FirstTicket().Encode()
+	if err != nil {
+		return err
+	}
+	filed := Eventually(startLimit, "the first ticket is accepted", func() bool {
+		_, err := t.File(first)
+		return err == nil
+	})
+	if filed != nil {
+		return filed
+	}
+	if err := t.InForce(1, startLimit); err != nil {
+		return err
+	}
+	return t.Held(startLimit)
+}
+
+// Add starts one more instance, in the next zone.
+func (t *Tier) Add() (*Member, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	zones := t.Deployment.Zones
+	m := &Member{
+		ID:   topology.InstanceID(fmt.Sprintf("%s-%02d", t.Deployment.Name, t.started)),
+		Zone: zones[t.started%len(zones)], done: make(chan struct{}),
+	}
+	t.started++
+	if err := t.run(m); err != nil {
+		return nil, err
+	}
+	t.members = append(t.members, m)
+	return m, nil
+}
+
+func (t *Tier) run(m *Member) error {
+	ports, err := freePorts(3)
+	if err != nil {
+		return err
+	}
+	m.Callers, m.Operator = ports[0], ports[2]
+	s := settings.Defaults()
+	s.Instance, s.Zone, s.Region = m.ID, m.Zone, t.Deployment.Region
+	s.Listen = settings.Listen{Callers: ports[0], Peers: ports[1], Operators: ports[2]}
+	s.PeerAddress = ports[1]
+	m.platform = httptest.NewServer(m.gate(t.Platform))
+	s.Platform = m.platform.Listener.Addr().String()
+	s.AdminToken, s.PeerToken = adminToken, peerToken
+	for _, tenant := range t.Deployment.Tenants {
+		s.Callers = append(s.Callers, settings.Caller{Token: settings.Token(Token(tenant)), Tenant: tenant})
+	}
+	logger := log.NewWithOptions(t.opts.log, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter})
+	incarnation := topology.NewIncarnation(time.Now().UnixMilli(), rand.Uint64())
+	m.instance = instance.New(s, incarnation, logger.With("instance", string(m.ID)), instance.WithNodeOptions(t.opts.node...))
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.done)
+		defer m.platform.CloseClientConnections()
+		if err := m.instance.Serve(ctx); err != nil {
+			logger.Error("instance ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// Token returns the bearer token of a tenant.
+func Token(tenant topology.TenantID) string { return "tier-token-" + string(tenant) }
+
+// freePorts returns loopback addresses that were free a moment ago.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Members returns the running instances.
+func (t *Tier) Members() []*Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]*Member(nil), t.members...)
+}
+
+// Addresses returns where the running instances serve callers.
+func (t *Tier) Addresses() []string {
+	var out []string
+	for _, m := range t.Members() {
+		out = append(out, m.Callers)
+	}
+	return out
+}
+
+// Stop ends an instance gracefully and waits for it.
+func (t *Tier) Stop(m *Member) {
+	t.forget(m)
+	m.cancel()
+	<-m.done
+}
+
+// Kill ends an instance abruptly: its connections break and nothing is handed
+// over.
+func (t *Tier) Kill(m *Member) {
+	t.forget(m)
+	m.instance.Abort()
+	m.cancel()
+	<-m.done
+}
+
+func (t *Tier) forget(m *Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, other := range t.members {
+		if other == m {
+			t.members = append(t.members[:i:i], t.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// Close ends everything abruptly.
+func (t *Tier) Close() {
+	for _, m := range t.Members() {
+		t.Kill(m)
+	}
+	t.Targets.Stop()
+}
+
+// File files a ticket through the first instance.
+func (t *Tier) File(body []byte) (operator.Accepted, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	return t.Members()[0].instance.File(ctx, body)
+}
+
+// FileChanges files the next ticket with the given changes.
+func (t *Tier) FileChanges(changes ...deployment.Change) (operator.Accepted, error) {
+	body, err := json.Marshal(map[string]any{"number": 0, "filingId": "", "operator": "tier", "at": 0, "changes": changes})
+	if err != nil {
+		return operator.Accepted{}, errors.WithStack(err)
+	}
+	return t.File(body)
+}
+
+// InForce waits until the ticket is in force at every instance.
+func (t *Tier) InForce(number uint64, limit time.Duration) error {
+	return Eventually(limit, fmt.Sprintf("ticket %d is in force everywhere", number), func() bool {
+		for _, m := range t.Members() {
+			if s, ok := m.Status(); !ok || uint64(s.Config) < number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Held waits until both shares of every service are in use.
+func (t *Tier) Held(limit time.Duration) error {
+	services := 0
+	for _, c := range t.Deployment.Collections {
+		services += len(c.Services)
+	}
+	want := 2 * services
+	return Eventually(limit, "both shares of every service are in use", func() bool {
+		usable := 0
+		for _, m := range t.Members() {
+			s, ok := m.Status()
+			if !ok {
+				return false
+			}
+			for _, h := range s.Holdings {
+				for _, k := range h.Share {
+					if h.Warm[k] {
+						usable++
+					}
+				}
+			}
+		}
+		return usable == want
+	})
+}
+
+// Status describes the member's node.
+func (m *Member) Status() (node.Status, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var s node.Status
+	raw, err := m.instance.Status(ctx)
+	if err != nil || json.Unmarshal(raw, &s) != nil {
+		return s, false
+	}
+	return s, true
+}
+
+// CutPlatform makes the platform fail for this member alone, or ends that.
+func (m *Member) CutPlatform(cut bool) { m.cut.Store(cut) }
+
+// gate lets calls through to the platform unless the member is cut off.
+func (m *Member) gate(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if m.cut.Load() {
+			http.Error(w, "cut off", http.StatusServiceUnavailable)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Ready reports whether the instance says that it is ready.
+func (m *Member) Ready() bool {
+	resp, err := http.Get("http://" + m.Callers + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+const pollPeriod = 20 * clock.Millisecond
+
+// Eventually waits until check holds. It fails with *TimeoutError.
+func Eventually(limit time.Duration, what string, check func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !check() {
+		if time.Now().After(deadline) {
+			return errors.WithStack(&TimeoutError{What: what, Limit: limit})
+		}
+		time.Sleep(pollPeriod.Std())
+	}
+	return nil
+}
