Add a simulated deployment for the stateful test of the node

Cause: the node joins all decision machines, but nothing checks the promises across several instances under faults. Change: fakes of network, platform and targets in simulated time, a driver like package instance, and an oracle for the promises.

--- /dev/null
+++ b/core/node/platform_test.go
@@ -0,0 +1,242 @@
+package node_test
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/node"
+	"knapweedstall/core/object"
+	"knapweedstall/core/topology"
+)
+
+const (
+	platformTimeout = 1000 * clock.Millisecond
+	storeRetry      = 200 * clock.Millisecond
+	watchWait       = 1000 * clock.Millisecond
+	listPeriod      = 1000 * clock.Millisecond
+	relaxedPeriod   = 30 * clock.Second
+)
+
+// platform is the store and the instance list.
+type platform struct {
+	w        *world
+	down     bool
+	slow     bool
+	losing   bool // the replies to writes are lost
+	cut      map[int]bool
+	objects  map[string]message.StoredObject
+	revision int64
+	lag      clock.Duration
+	listed   []topology.Member
+	history  []listing
+	shown    int // index in history; only grows
+}
+
+type listing struct {
+	at      clock.Time
+	members []topology.Member
+}
+
+func newPlatform(w *world) *platform {
+	return &platform{w: w, cut: map[int]bool{}, objects: map[string]message.StoredObject{}, history: []listing{{}}}
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// reachable reports whether a machine reaches the platform.
+func (f *platform) reachable(slot int) bool { return !f.down && !f.cut[slot] && !f.w.hostDown[slot] }
+
+func (f *platform) put(key string, expect int64, value []byte) bool {
+	if f.objects[key].Version != expect {
+		return false
+	}
+	f.revision++
+	f.objects[key] = message.StoredObject{Key: key, Version: f.revision, Value: value}
+	f.w.oracle.stored(key, value)
+	return true
+}
+
+func (f *platform) latency() clock.Duration {
+	if f.slow {
+		return f.w.ms(200, 2400)
+	}
+	return f.w.ms(2, 8)
+}
+
+// request runs do at the platform and calls reply with whether its reply
+// arrived in time. Exactly one reply follows, unless the process ends.
+func (f *platform) request(p *proc, do func(), reply func(ok, sent bool)) {
+	if !f.reachable(p.slot) {
+		refused := f.w.oneIn(2)
+		wait := platformTimeout
+		if refused {
+			wait = 2
+		}
+		f.w.after(wait, func() { reply(false, !refused) })
+		return
+	}
+	latency := f.latency()
+	f.w.after(latency/2, func() {
+		if f.reachable(p.slot) {
+			do()
+		}
+	})
+	f.w.after(min(latency, platformTimeout), func() {
+		reply(latency < platformTimeout && f.reachable(p.slot), true)
+	})
+}
+
+func (f *platform) read(p *proc, c node.ReadObject) {
+	r := object.ReadResult{Key: c.Key}
+	f.request(p, func() {
+		o := f.objects[string(c.Key)]
+		r.Version, r.Value = object.Version(o.Version), o.Value
+	}, func(ok, _ bool) {
+		r.Known = ok
+		if !ok {
+			r.Version, r.Value = 0, nil
+		}
+		p.deliver(node.ObjectRead{Op: c.Op, Result: r})
+	})
+}
+
+func (f *platform) write(p *proc, c node.WriteObject) {
+	r := object.WriteResult{Key: c.Key}
+	f.request(p, func() {
+		r.Status = object.Conflict
+		if f.put(string(c.Key), int64(c.Expect), c.Value) {
+			r.Status, r.Version = object.Written, object.Version(f.revision)
+		}
+	}, func(ok, sent bool) {
+		switch {
+		case !sent:
+			r = object.WriteResult{Key: c.Key, Status: object.NotSent}
+		case !ok || r.Status == 0 || f.losing && f.w.oneIn(2):
+			r = object.WriteResult{Key: c.Key, Status: object.Unknown}
+		}
+		p.deliver(node.ObjectWritten{Op: c.Op, Result: r})
+	})
+}
+
+func (f *platform) since(prefixes []string, revision int64) []message.StoredObject {
+	var out []message.StoredObject
+	for key, o := range f.objects {
+		if o.Version > revision && slices.ContainsFunc(prefixes, func(s string) bool { return strings.HasPrefix(key, s) }) {
+			out = append(out, o)
+		}
+	}
+	slices.SortFunc(out, func(a, b message.StoredObject) int { return int(a.Version - b.Version) })
+	return out
+}
+
+func (f *platform) list(p *proc, c node.ListObjects) {
+	var e node.ObjectsWatched
+	f.request(p, func() {
+		e = node.ObjectsWatched{Revision: f.revision, Objects: f.since(c.Prefixes, c.Since)}
+	}, func(ok, _ bool) {
+		if ok {
+			p.deliver(e)
+			return
+		}
+		p.deliver(node.StoreFailed{})
+		f.w.after(storeRetry, func() {
+			if p.up {
+				f.list(p, c)
+			}
+		})
+	})
+}
+
+// watch runs one long poll after the other until the watch is replaced.
+func (f *platform) watch(p *proc, id int, prefixes []string, since int64) {
+	if !p.up || p.watches != id {
+		return
+	}
+	f.request(p, func() {}, func(ok, _ bool) {
+		if ok {
+			f.poll(p, id, prefixes, since, f.w.now.Add(watchWait))
+			return
+		}
+		p.deliver(node.StoreFailed{})
+		f.w.after(storeRetry, func() { f.watch(p, id, prefixes, since) })
+	})
+}
+
+func (f *platform) poll(p *proc, id int, prefixes []string, since int64, until clock.Time) {
+	objects := f.since(prefixes, since)
+	switch {
+	case !p.up || p.watches != id:
+	case !f.reachable(p.slot):
+		p.deliver(node.StoreFailed{})
+		f.w.after(storeRetry, func() { f.watch(p, id, prefixes, since) })
+	case len(objects) > 0 || f.w.now >= until:
+		p.deliver(node.ObjectsWatched{Revision: f.revision, Objects: objects})
+		f.watch(p, id, prefixes, f.revision)
+	default:
+		f.w.after(20, func() { f.poll(p, id, prefixes, since, until) })
+	}
+}
+
+func (f *platform) record() {
+	f.history = append(f.history, listing{f.w.now, slices.Clone(f.listed)})
+}
+
+// register puts an instance on the list.
+func (f *platform) register(p *proc, state topology.MemberState) bool {
+	if !f.reachable(p.slot) {
+		return false
+	}
+	m := p.member
+	m.State = state
+	f.listed = slices.DeleteFunc(f.listed, func(o topology.Member) bool { return o.Ref.ID == m.Ref.ID })
+	f.listed = append(f.listed, m)
+	f.record()
+	return true
+}
+
+// deregister removes an incarnation that has ended.
+func (f *platform) deregister(p *proc) {
+	f.listed = slices.DeleteFunc(f.listed, func(o topology.Member) bool { return o.Ref == p.member.Ref })
+	f.record()
+}
+
+// instances returns the list as it was some time ago. It never goes back.
+func (f *platform) instances() []topology.Member {
+	for f.shown+1 < len(f.history) && f.history[f.shown+1].at <= f.w.now.Add(-f.lag) {
+		f.shown++
+	}
+	return slices.Clone(f.history[f.shown].members)
+}
+
+// listMembers registers the process and keeps reading the list.
+func (p *proc) listMembers(registered bool) {
+	if !p.up {
+		return
+	}
+	f := p.w.platform
+	if !registered && !p.paused {
+		registered = f.register(p, topology.MemberLive)
+	}
+	var list []topology.Member
+	f.request(p, func() { list = f.instances() }, func(ok, _ bool) {
+		period := listPeriod
+		if ok {
+			p.deliver(node.MembersListed{Members: list})
+			if !p.watching && p.node.Ready(p.w.now) {
+				period = relaxedPeriod
+			}
+		} else {
+			p.deliver(node.StoreFailed{})
+		}
+		p.w.after(period, func() { p.listMembers(registered) })
+	})
+}
--- /dev/null
+++ b/core/node/target_test.go
@@ -0,0 +1,286 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/dispatch"
+	"knapweedstall/core/message"
+	"knapweedstall/core/node"
+	"knapweedstall/core/topology"
+)
+
+const (
+	poison = "poison"
+	// warmAfter is how many calls a cold target answers before it is warm.
+	warmAfter   = 3
+	dialFailure = 250 * clock.Millisecond
+)
+
+// fakeTarget is a back-end server. While cold it bears one call and falls over
+// when it gets a second one.
+type fakeTarget struct {
+	w         *world
+	service   topology.ServiceID
+	conf      topology.Target
+	up        bool
+	away      bool // its zone is lost: nothing refuses a connection
+	cold      bool
+	coldAt    clock.Time // when it last became cold
+	served    int
+	draining  bool
+	slow      bool
+	shed      int // so many calls are shed next
+	loses     int // the replies to so many calls are lost
+	confuses  int // so many answers carry another tenant's documents as well
+	silent    map[*proc]bool
+	running   []*call
+	snapshots []topology.SnapshotID
+}
+
+func newTarget(w *world, service, k int) *fakeTarget {
+	id := fmt.Sprintf("t%d%d", service, k)
+	return &fakeTarget{
+		w: w, service: topology.ServiceID(fmt.Sprint("s", service)), up: true, cold: true, coldAt: 1,
+		silent: map[*proc]bool{}, snapshots: []topology.SnapshotID{"v1"},
+		conf: topology.Target{
+			ID: topology.TargetID(id), Address: fmt.Sprintf("10.1.%d.%d:80", service, k),
+			Zone: zones[(service+k)%3], Slots: 2 + service%2, Connections: 50,
+		},
+	}
+}
+
+// call is one CallTarget.
+type call struct {
+	node.CallTarget
+	p        *proc
+	t        *fakeTarget
+	sentAt   clock.Time
+	newsAt   clock.Time // of the target being cold, known to the sender when it sent
+	warmAt   clock.Time // of the target being warm, likewise
+	fresh    bool       // the sender's right was fresh
+	reported bool       // the sender has the one event that ends the call
+}
+
+func (t *fakeTarget) bears() int {
+	if t.cold {
+		return 1
+	}
+	return t.conf.Slots
+}
+
+func (t *fakeTarget) state() message.TargetState {
+	switch {
+	case t.draining:
+		return message.TargetDraining
+	case t.cold:
+		return message.TargetCold
+	}
+	return message.TargetWarm
+}
+
+func (p *proc) callTarget(cmd node.CallTarget) {
+	c := &call{CallTarget: cmd, p: p, sentAt: p.w.now}
+	p.calls[cmd.Call] = c
+	i := slices.IndexFunc(p.w.targets, func(t *fakeTarget) bool { return t.conf.Address == cmd.Address })
+	if i < 0 {
+		c.fail(0, dispatch.FailureNotSent)
+		return
+	}
+	c.t = p.w.targets[i]
+	p.w.oracle.sends(c)
+	p.w.after(c.Deadline.Sub(p.w.now), func() {
+		if !c.reported {
+			delete(c.t.silent, p) // the connection is closed, the next call dials
+		}
+		c.fail(0, dispatch.FailureTimeout)
+	})
+	p.w.after(p.w.ms(1, 4), func() { c.t.arrive(c) })
+}
+
+func (p *proc) cancelTarget(id node.TargetCallID) {
+	c := p.calls[id]
+	if c == nil || c.t == nil {
+		return
+	}
+	p.w.after(p.w.ms(1, 4), func() {
+		if c.t.end(c) {
+			c.fail(p.w.ms(1, 4), dispatch.FailureCancelled)
+		}
+	})
+}
+
+// fail reports the end of a call without an answer after d.
+func (c *call) fail(d clock.Duration, f dispatch.Failure) {
+	at := c.p.w.now
+	c.report(d, func() node.Event {
+		if f == dispatch.FailureLost || f == dispatch.FailureNotSent {
+			c.p.w.oracle.news(c, message.TargetCold, at)
+		}
+		return node.TargetFailed{Call: c.Call, Failure: f}
+	})
+}
+
+// answer reports an answer. It is lost if the connection is silent.
+func (c *call) answer(a dispatch.Answer) {
+	t, at := c.t, c.p.w.now
+	if t.silent[c.p] {
+		return
+	}
+	a.State, a.Bears = t.state(), t.bears()
+	if t.draining {
+		a.Bears = 0
+	}
+	c.report(t.w.ms(1, 4), func() node.Event {
+		t.w.oracle.news(c, a.State, at)
+		return node.TargetAnswered{Call: c.Call, Answer: a}
+	})
+}
+
+func (c *call) report(d clock.Duration, e func() node.Event) {
+	c.p.w.after(d, func() {
+		if !c.reported && c.p.up {
+			c.reported = true
+			delete(c.p.calls, c.Call)
+			c.p.deliver(e())
+		}
+	})
+}
+
+func (t *fakeTarget) arrive(c *call) {
+	switch w := t.w; {
+	case t.away:
+		c.fail(dialFailure, dispatch.FailureNotSent)
+	case !t.up:
+		c.fail(1, dispatch.FailureNotSent)
+	case t.silent[c.p]:
+	case w.now > c.StartBy || w.now >= c.Deadline:
+		c.answer(dispatch.Answer{Status: dispatch.AnswerLate})
+	case t.draining:
+		c.answer(dispatch.Answer{Status: dispatch.AnswerDraining})
+	case t.shed > 0:
+		t.shed--
+		c.answer(dispatch.Answer{Status: dispatch.AnswerShed, RetryAfter: clock.Duration(w.rnd.IntN(3) * 40)})
+	case !slices.Contains(t.snapshots, c.Snapshot):
+		c.answer(t.gone(c)) // runs nothing
+	case len(t.running) >= t.bears():
+		w.oracle.overloaded(c)
+		if t.cold {
+			t.crash()
+			c.fail(1, dispatch.FailureLost)
+			return
+		}
+		c.answer(dispatch.Answer{Status: dispatch.AnswerShed})
+	default:
+		t.start(c)
+	}
+}
+
+func (t *fakeTarget) start(c *call) {
+	w := t.w
+	w.oracle.starts(c)
+	t.running = append(t.running, c)
+	takes := w.ms(5, 20)
+	switch {
+	case t.slow && w.oneIn(2):
+		takes = w.ms(200, 3000)
+	case t.cold:
+		takes = w.ms(20, 60)
+	}
+	if slices.ContainsFunc(c.Items, func(i dispatch.Item) bool { return i.Query == poison }) {
+		w.after(w.ms(1, 5), func() {
+			if slices.Contains(t.running, c) {
+				t.crash()
+			}
+		})
+		return
+	}
+	if w.now.Add(takes) >= c.Deadline {
+		w.after(c.Deadline.Sub(w.now), func() { t.end(c) }) // the target stops it then
+		return
+	}
+	w.after(takes, func() { t.finish(c) })
+}
+
+// end ends a call that is running.
+func (t *fakeTarget) end(c *call) bool {
+	if !slices.Contains(t.running, c) {
+		return false
+	}
+	t.running = slices.DeleteFunc(t.running, func(o *call) bool { return o == c })
+	return true
+}
+
+func (t *fakeTarget) finish(c *call) {
+	if !t.end(c) {
+		return
+	}
+	t.served++
+	if t.cold && t.served >= warmAfter {
+		t.cold = false
+	}
+	if t.loses > 0 {
+		t.loses--
+		c.fail(1, dispatch.FailureLost)
+		return
+	}
+	a := dispatch.Answer{Status: dispatch.AnswerOK}
+	for _, item := range c.Items {
+		if t.confuses > 0 {
+			t.confuses--
+			other := item
+			other.Tenant = map[topology.TenantID]topology.TenantID{"a": "b", "b": "a"}[item.Tenant]
+			a.Items = append(a.Items, t.answerItem(c, other))
+		}
+		a.Items = append(a.Items, t.answerItem(c, item))
+	}
+	c.answer(a)
+}
+
+func (t *fakeTarget) answerItem(c *call, item dispatch.Item) dispatch.ItemAnswer {
+	a := dispatch.ItemAnswer{ID: item.ID, Tenant: item.Tenant, Snapshot: c.Snapshot, Status: dispatch.ItemOK}
+	for _, shard := range item.Shards {
+		hits := hitsOf(item.Tenant, c.Snapshot, shard, item.Query)
+		if c.Once {
+			hits = []message.Hit{{ID: receipt(item.Tenant, item.Query)}}
+		}
+		a.Shards = append(a.Shards, message.ShardAnswer{Shard: shard, Hits: hits})
+	}
+	return a
+}
+
+// gone answers a call of a snapshot that the target does not have.
+func (t *fakeTarget) gone(c *call) dispatch.Answer {
+	a := dispatch.Answer{Status: dispatch.AnswerOK}
+	for _, item := range c.Items {
+		a.Items = append(a.Items, dispatch.ItemAnswer{
+			ID: item.ID, Tenant: item.Tenant, Snapshot: c.Snapshot, Status: dispatch.ItemSnapshotGone, Snapshots: slices.Clone(t.snapshots),
+		})
+	}
+	return a
+}
+
+func receipt(tenant topology.TenantID, payload string) string {
+	return "receipt " + string(tenant) + " " + payload
+}
+
+// crash loses all calls. The target comes back cold.
+func (t *fakeTarget) crash() {
+	if !t.up {
+		return
+	}
+	t.up = false
+	t.turnCold()
+	running := t.running
+	t.running = nil
+	for _, c := range running {
+		if !t.silent[c.p] && !t.away {
+			c.fail(1, dispatch.FailureLost)
+		}
+	}
+	clear(t.silent)
+	t.w.after(t.w.ms(300, 2000), func() { t.up = true })
+}
+
+func (t *fakeTarget) turnCold() { t.cold, t.coldAt, t.served = true, t.w.now, 0 }
