Keep targets warm after one slow call and hedge under overload

A call that passed its deadline made its target cold, so at overload, where queued calls start with little time left, stragglers closed shares for seconds. Now only a second timeout without an answer in between counts, and hedges are no longer withheld while the queue is long.

Runs now count for the mean service time, so a service that gets only runs refuses what cannot start in time. The loss of idle connections no longer ends draining, since a target that drains closes them first.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -10,8 +10,9 @@
 const (
 	// warmthTerm bounds the age of an answer or report that may be relied on.
 	warmthTerm = 10 * clock.Second
-	// drainTerm is how long a target that said draining gets nothing new. It
-	// ends earlier when the target closes its last connection.
+	// drainTerm is how long a target that said draining gets nothing new. A
+	// target that drains closes its connections long before it ends, so their
+	// loss does not shorten the term.
 	drainTerm = 30 * clock.Second
 	// reportDelay bounds the transit time of a report: a peer connection that
 	// is silent for longer is abandoned. A report that arrives at least this
@@ -135,35 +136,31 @@
 }
 
 // Lost records a lost connection, a crash or a connection that could not be
-// opened: the target is cold and gets nothing new for a doubling delay. A
-// target that was draining stays so, since a call that was in flight may break
-// without the target having ended.
+// opened: the target is cold and gets nothing new for a doubling delay.
 func (a *Allowance) Lost(now clock.Time) {
-	a.generation++
-	if !a.own.draining(now) {
-		a.forget(now)
-	}
+	a.Disconnected(now)
 	a.backOff(now, 0)
 }
 
-// TimedOut records that a call passed its deadline, which closes its
-// connection. The target is unknown on the next one. That is no evidence of a
-// restart, so it delays nothing unless it happens again before an answer.
+// TimedOut records that a call passed its deadline. One slow call is no evidence
+// of a restart. A second one without an answer in between makes the target cold
+// and delays the next call. A connection that replaces the last open one is
+// recorded by Connected.
 func (a *Allowance) TimedOut(now clock.Time) {
-	if !a.own.draining(now) {
-		a.forget(now)
-	}
 	if a.failures > 0 {
-		a.backOff(now, 0)
+		a.Lost(now)
+		return
 	}
-	a.failures = max(1, a.failures)
+	a.failures = 1
 }
 
 // Disconnected records that the last connection to the target closed while it
 // was idle.
 func (a *Allowance) Disconnected(now clock.Time) {
 	a.generation++
-	a.forget(now)
+	if !a.own.draining(now) {
+		a.forget(now)
+	}
 }
 
 // Connected records that a connection was opened while none was open. Calls
--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -9,11 +9,6 @@
 	"knapweedstall/core/message"
 )
 
-// hedgeQueue is the length of the queue, in sub-requests for each slot, beyond
-// which nothing is hedged: the service is overloaded then. A limit of 1 stops
-// most hedges of a holder with 2 slots at 80 % load.
-const hedgeQueue = 4
-
 // call is one call to a target whose end is not known. It holds a slot.
 type call struct {
 	id         CallID
@@ -76,11 +71,9 @@
 }
 
 // sendHedges sends the searches of overdue calls to a second target. Hedges go
-// before the queue, because an overdue call has waited longest.
-func (s *Service) sendHedges(now clock.Time, c capacity) {
-	if len(s.queue) > hedgeQueue*c.slots {
-		return
-	}
+// before the queue, also under overload: an overdue call has waited longest, and
+// its cancellation frees a slot that it would use for long.
+func (s *Service) sendHedges(now clock.Time) {
 	for _, call := range s.calls[:len(s.calls):len(s.calls)] {
 		if call.over || call.hedgeAt == 0 || now < call.hedgeAt {
 			continue
@@ -266,14 +259,12 @@
 	}
 }
 
-// observe records the latency of a call. Runs take another path at the target
-// and are not counted.
 func (s *Service) observe(now clock.Time, c *call) {
-	if c.subs[0].once() {
-		return
+	run := c.subs[0].once()
+	s.latency.observe(now.Sub(c.sentAt), run)
+	if !run {
+		c.target.observe(now, now.Sub(c.sentAt))
 	}
-	s.latency.observe(now.Sub(c.sentAt))
-	c.target.observe(now, now.Sub(c.sentAt))
 }
 
 // expire ends what has passed its deadline.
--- a/core/dispatch/hedge_test.go
+++ b/core/dispatch/hedge_test.go
@@ -20,11 +20,13 @@
 	notOK    int
 }
 
+const searches = 60_000 // in each measurement
+
 // measure sends searches to the less loaded holder of warm targets.
-func measure(t *testing.T, targets int, load float64, opts ...dispatch.Option) tail {
+func measure(t *testing.T, targets int, load float64, remaining clock.Duration, opts ...dispatch.Option) tail {
 	// Until warmUp, at little load, both holders learn that the targets are warm.
 	// meanMS is how long a call uses a slot, with 2 ms of transit.
-	const warmUp, searches, meanMS = 5_000, 60_000, 12.9
+	const warmUp, meanMS = 5_000, 12.9
 	w := newWorld(t, 7, fleet(targets, 2), opts...)
 	for _, x := range w.targets {
 		x.bears = 2
@@ -47,11 +49,11 @@
 				k = 1
 			}
 			sub := search(uint64(len(w.subs)))
-			sub.RemainingMS = 2 * clock.Second
+			sub.RemainingMS = remaining
 			w.submit(k, sub)
 		}
 	}
-	w.advance(2 * clock.Second)
+	w.advance(3 * clock.Second)
 	result, took := tail{}, []clock.Duration(nil)
 	for _, sub := range w.subs {
 		if r := w.replies[sub.Query][0]; r != message.StatusOK {
@@ -85,8 +87,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d targets, load %.1f", tt.targets, tt.load), func(t *testing.T) {
-			without := measure(t, tt.targets, tt.load, dispatch.WithoutHedges())
-			with := measure(t, tt.targets, tt.load)
+			without := measure(t, tt.targets, tt.load, 2*clock.Second, dispatch.WithoutHedges())
+			with := measure(t, tt.targets, tt.load, 2*clock.Second)
 			t.Logf("without %+v, with %+v", without, with)
 			if met := 2*with.fanned <= without.fanned; met == tt.unmet || with.extra >= 0.05 {
 				t.Errorf("p99 of queries %d ms with hedges and %d ms without, %.1f %% extra", with.fanned, without.fanned, 100*with.extra)
@@ -95,6 +97,21 @@
 	}
 }
 
+// Guards against an overload that costs more than 5 % of the answers that are
+// given at capacity.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	for _, targets := range []int{2, 7} {
+		for _, remaining := range []clock.Duration{55, 300} {
+			once, twice := measure(t, targets, 1, remaining), measure(t, targets, 2, remaining)
+			goodput := 2 * float64(searches-twice.notOK) / float64(searches-once.notOK)
+			t.Logf("%d targets, %d ms: twice the load gives %.3f of the goodput", targets, remaining, goodput)
+			if goodput < 0.95 {
+				t.Errorf("%+v at capacity, %+v at twice the load", once, twice)
+			}
+		}
+	}
+}
+
 // BenchmarkSubRequest measures one sub-request from Submit to Reply.
 func BenchmarkSubRequest(b *testing.B) {
 	for _, depth := range []int{1, 16, 256} {
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -16,16 +16,22 @@
 // latency is the recent latency of a service's calls.
 type latency struct {
 	ring  [latencyWindow]clock.Duration
-	count int
+	count int     // calls put into the ring
+	known bool    // there was a call
 	mean  float64 // ms, exponentially weighted
 	p95   clock.Duration
 }
 
-func (l *latency) observe(d clock.Duration) {
-	if l.count == 0 {
-		l.mean = float64(d)
+// observe counts a call. Runs take another path at the target: they count for
+// the mean, which estimates the queue, but not for the percentile.
+func (l *latency) observe(d clock.Duration, run bool) {
+	if !l.known {
+		l.known, l.mean = true, float64(d)
 	}
 	l.mean += meanWeight * (float64(d) - l.mean)
+	if run {
+		return
+	}
 	l.ring[l.count%latencyWindow] = d
 	l.count++
 	if l.count == latencyMin || l.count > latencyMin && l.count%sortEvery == 0 {
@@ -38,7 +44,7 @@
 
 // typical returns the mean, at least 1 ms, or 0 before the first call.
 func (l *latency) typical() clock.Duration {
-	if l.count == 0 {
+	if !l.known {
 		return 0
 	}
 	return max(1, clock.Duration(l.mean+0.5))
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -149,7 +149,8 @@
 }
 
 // Connected records that the driver opened a connection to a target while it
-// had none: the target is unknown until it answers.
+// had none, not counting those whose last call timed out: the target is unknown
+// until it answers.
 func (s *Service) Connected(now clock.Time, id topology.TargetID) []Command {
 	if t := s.target(id); t != nil {
 		t.allow.Connected(now)
@@ -237,7 +238,7 @@
 	s.expire(now)
 	c := s.capacity(now)
 	s.refuseHopeless(now, c)
-	s.sendHedges(now, c)
+	s.sendHedges(now)
 	s.sendQueued(now)
 	s.wake = s.nextWake(now, c)
 	out := s.out
