Choose batch sizes by cost and keep slots past the deadline

Cause 1: a call carried up to 8 searches whatever they cost. Change: the holder estimates base and item cost of a call by regression; the items of a batch together may cost as much as the base.

Change: a call keeps its slot for 20 ms past its deadline unless the target confirms its end; a 504 with deadline is such a confirmation. The oracle of the stateful test now counts a call as in flight until then, which is stricter than before.

--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -43,11 +43,12 @@
 		c.deadline = max(c.deadline, u.deadline)
 		s.countSend(now, u)
 	}
-	c.deadline = min(c.deadline, now.Add(maxTargetWork))
+	c.deadline = min(c.deadline.Add(EndMargin), now.Add(maxTargetWork))
 	if head.search() && !head.alone && !hedge && !s.noHedges && s.latency.p95 > 0 {
 		c.hedgeAt = now.Add(s.latency.p95 + 1)
 	}
-	cmd.Deadline, cmd.StartBy = c.deadline, min(c.deadline, now.Add(startTerm))
+	cmd.Deadline = c.deadline.Add(-EndMargin)
+	cmd.StartBy = min(cmd.Deadline, now.Add(startTerm))
 	t.inFlight[share]++
 	s.perCall += meanWeight * (float64(len(subs)) - s.perCall)
 	s.calls = append(s.calls, c)
@@ -119,6 +120,7 @@
 	}
 	if a.Status == AnswerOK {
 		s.observe(now, c)
+		s.cost.observe(len(c.subs), now.Sub(c.sentAt))
 	}
 	for _, u := range c.subs {
 		s.itemAnswered(now, c, u, a)
@@ -172,7 +174,7 @@
 	}
 	settled := c.over
 	switch {
-	case f == FailureNotSent || f == FailureCancelled:
+	case f == FailureNotSent || f == FailureEnded:
 		s.release(c)
 	case !settled:
 		// The target may still be running the call until its deadline.
--- a/core/dispatch/command.go
+++ b/core/dispatch/command.go
@@ -40,7 +40,7 @@
 }
 
 // CancelCall asks the driver to cancel a call. Its slot stays in use until
-// Answered, FailureCancelled or the deadline.
+// Answered, FailureEnded or the deadline.
 type CancelCall struct {
 	Call CallID
 }
@@ -114,10 +114,10 @@
 	FailureLost
 	// FailureTimeout means that the deadline passed.
 	FailureTimeout
-	// FailureCancelled means that the call was cancelled, and either was not
-	// sent yet or the target confirmed its end. A connection that the driver
-	// itself closed is no proof: then nothing is to be reported.
-	FailureCancelled
+	// FailureEnded means that the target has ended the call without an answer,
+	// because it was cancelled or at its deadline. A connection that the driver
+	// itself closed is no proof.
+	FailureEnded
 )
 
 // Use says, by share index, to which targets calls may be sent.
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -104,7 +104,7 @@
 			r.answer(52)
 			r.submit(2, search)
 			r.submit(3, search) // the cancelled call still holds its slot
-			r.fail(51, dispatch.FailureCancelled)
+			r.fail(51, dispatch.FailureEnded)
 		}, "51>t0 52>t1 1=ok -51 53>t1 54>t0"},
 		{"snapshot gone", false, func(r *rig) {
 			r.submit(1, search)
--- a/core/dispatch/oracle_test.go
+++ b/core/dispatch/oracle_test.go
@@ -202,7 +202,7 @@
 		limit, warm = max(1, know.bears), know.warm
 	}
 	allowed := (limit + (c.target.index+c.holder+1)%2) / 2
-	inFlight := w.count(func(o *fakeCall) bool { return o.target == c.target && o.holder == c.holder && o.Deadline > w.now })
+	inFlight := w.count(func(o *fakeCall) bool { return o.target == c.target && o.holder == c.holder && w.now < o.freeAt() })
 	use, fault := w.rights[c.holder], ""
 	switch {
 	case inFlight > allowed:
@@ -245,6 +245,10 @@
 	return n
 }
 
+// freeAt returns when the holder may use the call's slot again without proof
+// that the call has ended.
+func (c *fakeCall) freeAt() clock.Time { return c.Deadline.Add(dispatch.EndMargin) }
+
 func (w *world) ended(c *fakeCall) bool { return !slices.Contains(w.calls, c) }
 
 func (w *world) arrive(c *fakeCall) {
@@ -312,7 +316,7 @@
 		case dispatch.AnswerDraining:
 			i.closedUntil = w.now.Add(30 * clock.Second)
 		}
-		if w.now < c.Deadline { // later the call is unknown to the holder
+		if w.now < c.freeAt() { // later the call is unknown to the holder
 			w.learn(c.holder, c.Target, i)
 		}
 		w.apply(c.holder, w.holders[c.holder].Answered(w.now, c.Call, a))
@@ -331,7 +335,7 @@
 }
 
 func (w *world) notice(c *fakeCall, f dispatch.Failure) {
-	if f != dispatch.FailureCancelled && w.now < c.Deadline {
+	if f != dispatch.FailureEnded && w.now < c.freeAt() {
 		w.stamp++
 		w.learn(c.holder, c.Target, info{stamp: w.stamp, bears: 1})
 	}
@@ -344,7 +348,7 @@
 		if c.holder == holder && c.Call == id && !w.oneIn(2) {
 			w.transit(func() {
 				if !w.ended(c) {
-					w.fail(c, dispatch.FailureCancelled)
+					w.fail(c, dispatch.FailureEnded)
 				}
 			})
 		}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -38,11 +38,12 @@
 	head := s.queue[i]
 	batch := []*sub{head}
 	s.queue = slices.Delete(s.queue, i, i+1)
-	if s.maxBatch == 1 || !head.search() || head.alone {
+	if s.maxBatch == 1 || !head.search() || head.alone || len(s.queue) == 0 {
 		return batch
 	}
+	limit := s.cost.limit(s.maxBatch)
 	s.queue = slices.DeleteFunc(s.queue, func(u *sub) bool {
-		fits := len(batch) < s.maxBatch && u.search() && !u.alone && u.avoid != t.ID &&
+		fits := len(batch) < limit && u.search() && !u.alone && u.avoid != t.ID &&
 			u.req.Tenant == head.req.Tenant && u.req.Snapshot == head.req.Snapshot && u.req.Collection == head.req.Collection
 		if fits {
 			batch = append(batch, u)
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -13,6 +13,11 @@
 	"knapweedstall/core/topology"
 )
 
+// EndMargin is how long after its deadline a call still occupies its slot. A
+// slot that was free exactly at the deadline let the next call reach the target
+// before the target had stopped the last one.
+const EndMargin = 20 * clock.Millisecond
+
 const (
 	// maxTargetWork bounds the time that a call may take at a target. Transfers
 	// of shares wait for it.
@@ -69,6 +74,7 @@
 	lastItem ItemID
 	latency  latency
 	perCall  float64 // mean number of items of a call
+	cost     batchCost
 	budget   budget
 	delay    clock.Duration             // queueing delay of the newest started sub-request
 	ran      map[message.SubID]struct{} // the ids in runs
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -40,6 +40,13 @@
 	Extra    uint64             `json:"extra"` // sent again: hedges and retries
 }
 
+// AdmissionStatus describes the admission control of a collection.
+type AdmissionStatus struct {
+	Collection topology.CollectionID `json:"collection"`
+	Limited    bool                  `json:"limited"`
+	PerSecond  float64               `json:"perSecond"` // admitted rate; valid when Limited
+}
+
 // Status describes the node.
 type Status struct {
 	Self         topology.Member   `json:"self"`
@@ -52,6 +59,7 @@
 	Live         []topology.Member `json:"live"`
 	Suspected    []topology.Member `json:"suspected"`
 	Holdings     []HoldingStatus   `json:"holdings"`
+	Admission    []AdmissionStatus `json:"admission"`
 	Counters     Counters          `json:"counters"`
 }
 
@@ -65,6 +73,10 @@
 	for _, id := range slices.Sorted(maps.Keys(n.held)) {
 		s.Holdings = append(s.Holdings, n.holdingStatus(now, id))
 	}
+	for _, id := range slices.Sorted(maps.Keys(n.admission)) {
+		rate, limited := n.admission[id].Rate()
+		s.Admission = append(s.Admission, AdmissionStatus{Collection: id, Limited: limited, PerSecond: rate})
+	}
 	return s
 }
 
--- a/experiment/policies.go
+++ b/experiment/policies.go
@@ -78,21 +78,24 @@
 }
 
 // heavy makes targets slow enough for their slots, and not this machine's
-// processors, to be the limit.
-var heavy = target.Timing{BaseMS: 38, ItemMS: 2, Sigma: 0.25}
+// processors, to be the limit. The cost is in the items, so that batches do not
+// raise the capacity.
+var heavy = target.Timing{BaseMS: 2, ItemMS: 38, Sigma: 0.25}
+
+// heavyCapacity is what a service of 2 targets with 2 slots each can answer, in
+// queries per second.
+const heavyCapacity = 4 * 1000 / 40
 
 func overload(ctx context.Context, o Options, r *Report) error {
-	// 2 targets with 2 slots each and 40 ms a call.
-	const capacity = 4 * 1000 / 40
-	at, err := measure(ctx, o, "at capacity", capacity, timing(heavy))
+	at, err := measure(ctx, o, "at capacity", heavyCapacity, timing(heavy))
 	if err != nil {
 		return err
 	}
-	twice, err := measure(ctx, o, "twice the capacity", 2*capacity, timing(heavy))
+	twice, err := measure(ctx, o, "twice the capacity", 2*heavyCapacity, timing(heavy))
 	if err != nil {
 		return err
 	}
-	without, err := measure(ctx, o, "twice the capacity, no admission", 2*capacity, timing(heavy), tier.WithNode(node.WithoutAdmission()))
+	without, err := measure(ctx, o, "twice the capacity, no admission", 2*heavyCapacity, timing(heavy), tier.WithNode(node.WithoutAdmission()))
 	if err != nil {
 		return err
 	}
@@ -108,12 +111,12 @@
 }
 
 func fairness(ctx context.Context, o Options, r *Report) error {
-	const capacity, share = 4 * 1000 / 40, 40
+	const share = heavyCapacity * 4 / 10 // 80 % of one of two equal shares
 	alone, err := measureTenants(ctx, o, "well-behaved tenant alone", share, 0)
 	if err != nil {
 		return err
 	}
-	beside, err := measureTenants(ctx, o, "beside a tenant at 10 times its share", share, 10*capacity/2)
+	beside, err := measureTenants(ctx, o, "beside a tenant at 10 times its share", share, 10*heavyCapacity/2)
 	if err != nil {
 		return err
 	}
--- a/instance/targets.go
+++ b/instance/targets.go
@@ -5,6 +5,7 @@
 	"errors"
 	"strconv"
 
+	"knapweedstall/core/clock"
 	"knapweedstall/core/dispatch"
 	"knapweedstall/core/message"
 	"knapweedstall/core/node"
@@ -12,6 +13,9 @@
 	"knapweedstall/io/target"
 )
 
+// replyMargin is how long after its deadline a call may still be answered.
+const replyMargin = 100 * clock.Millisecond
+
 // targetCall is a call in flight.
 type targetCall struct {
 	address string
@@ -21,7 +25,8 @@
 
 func (in *Instance) callTarget(ctx context.Context, c node.CallTarget) {
 	left := c.Deadline.Sub(in.clock.Now())
-	ctx, cancel := context.WithTimeout(ctx, left.Std())
+	// The target ends the call at its deadline and says so.
+	ctx, cancel := context.WithTimeout(ctx, (left + replyMargin).Std())
 	call := &targetCall{address: c.Address, id: in.callName(c.Call), cancel: cancel}
 	in.mu.Lock()
 	in.calls[c.Call] = call
@@ -59,11 +64,8 @@
 	if err != nil {
 		return node.TargetFailed{Call: c.Call, Failure: failureOf(err)}
 	}
-	switch a.Status {
-	case target.CallCancelled:
-		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureCancelled}
-	case target.CallDeadline:
-		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureTimeout}
+	if a.Status == target.CallCancelled || a.Status == target.CallDeadline {
+		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureEnded}
 	}
 	return node.TargetAnswered{Call: c.Call, Fresh: a.Fresh, Answer: dispatchAnswer(a)}
 }
