Add the quarantine of requests that crash targets

A request whose fingerprint is not known to be safe runs as a canary on one target first, and runs go through the same keeper one at a time. Before each canary the keeper is charged at itself and at the highest other instance by hash, which must acknowledge, so that after the loss of either the other one counts it. Crashes are stored before a second canary; while the store is away the acknowledgement covers them.

--- /dev/null
+++ b/core/quarantine/command.go
@@ -0,0 +1,48 @@
+package quarantine
+
+import (
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/object"
+	"knapweedstall/core/topology"
+)
+
+// Command is an instruction from a Keeper to its driver.
+type Command interface {
+	command()
+}
+
+// Send sends a message to an instance, which may be the keeper's own.
+type Send struct {
+	To   topology.InstanceRef
+	Body message.Body
+}
+
+func (Send) command() {}
+
+// RunCanary runs a sub-request on one target. The driver sends it at most once
+// and reports the result to Done. StatusCrashed is also the result when it
+// cannot tell whether the target crashed.
+type RunCanary struct {
+	Seq      uint64
+	Sub      message.SubRequest // Kind is KindCanary or KindRun
+	Deadline clock.Time
+}
+
+func (RunCanary) command() {}
+
+// ReadObject asks for one read; its result goes to ReadDone.
+type ReadObject struct {
+	Key object.Key
+}
+
+func (ReadObject) command() {}
+
+// WriteObject asks for one conditional write; its result goes to WriteDone.
+type WriteObject struct {
+	Key    object.Key
+	Expect object.Version // 0: create only if absent
+	Value  []byte
+}
+
+func (WriteObject) command() {}
