--- a/core/claim/journal_test.go
+++ b/core/claim/journal_test.go
@@ -15,7 +15,7 @@
 	"knapweedstall/core/topology"
 )
 
-func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 2000)) }
+func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 8000)) }
 
 // keys is small, so that writers often meet on one key.
 const keys = 2
--- a/core/quarantine/keeper_test.go
+++ b/core/quarantine/keeper_test.go
@@ -15,13 +15,13 @@
 	"knapweedstall/core/topology"
 )
 
-func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 400)) }
+func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 3000)) }
 
 type node struct {
 	*q.Keeper
-	ref  topology.InstanceRef
-	view int // index into tier.history
-	call q.Command
+	ref   topology.InstanceRef
+	view  int         // index into tier.history
+	calls []q.Command // outstanding store calls
 }
 
 type packet struct {
@@ -116,16 +116,21 @@
 		case q.RunCanary:
 			w.handOut(t, n, c)
 		default:
-			n.call = c
-			w.complete(t, n)
+			n.calls = append(n.calls, c)
 		}
 	}
 }
 
-// complete answers a store call in the same step; its fault varies.
-func (w *tier) complete(t *rapid.T, n *node) {
+// settle completes the oldest outstanding store call of an instance.
+func (w *tier) settle(t *rapid.T) {
+	n := rapid.SampledFrom(w.nodes).Draw(t, "caller")
+	if len(n.calls) == 0 {
+		t.Skip("no call")
+	}
+	call := n.calls[0]
+	n.calls = n.calls[1:]
 	fault := rapid.SampledFrom(objecttest.Faults).Draw(t, "fault")
-	switch c := n.call.(type) {
+	switch c := call.(type) {
 	case q.ReadObject:
 		w.handle(t, n, n.ReadDone(w.now, w.store.Read(c.Key, fault)))
 	case q.WriteObject:
@@ -305,10 +310,18 @@
 			"run2":     w.run,
 			"tick":     w.tick,
 			"change":   w.change,
+			"settle":   w.settle,
+			"settle2":  w.settle,
+			"settle3":  w.settle,
 			"view":     w.view,
 			"view2":    w.view,
 			"store":    func(*rapid.T) { w.store.Down = !w.store.Down },
 		})
+		for id, a := range w.asks {
+			if wake := a.keeper.NextWake(); a.verdict == nil && slices.Contains(w.nodes, a.keeper) && (wake == 0 || wake > a.deadline+clock.Time(clock.Second)) {
+				t.Fatalf("%v waits until %d, but the next tick is at %d", id, a.deadline, wake)
+			}
+		}
 		for range 4 {
 			w.advance(t, 3100)
 		}
--- a/core/ticket/filing_test.go
+++ b/core/ticket/filing_test.go
@@ -1,8 +1,10 @@
 package ticket_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 
@@ -33,6 +35,7 @@
 	accepted  map[ticket.Number]ticket.FilingID
 	notFiled  map[ticket.FilingID]bool
 	reference *ticket.Log
+	stored    []ticket.Ticket // decoded once; a ticket in the store never changes
 }
 
 func (f *fleet) handle(t *rapid.T, fl *filer, commands []ticket.Command) {
@@ -66,13 +69,11 @@
 }
 
 func (f *fleet) filingAt(t *rapid.T, n ticket.Number) ticket.FilingID {
-	value := f.store.Get(ticket.Key(n)).Value
-	if value == nil {
-		return ""
-	}
-	stored, err := ticket.Decode(value)
-	if err != nil {
-		t.Fatalf("stored ticket %d: %v", n, err)
+	var stored struct{ FilingID ticket.FilingID }
+	if value := f.store.Get(ticket.Key(n)).Value; value != nil {
+		if err := json.Unmarshal(value, &stored); err != nil {
+			t.Fatalf("stored ticket %d: %v", n, err)
+		}
 	}
 	return stored.FilingID
 }
@@ -209,11 +210,14 @@
 	want := map[string]ticket.Value{}
 	numbers := map[string]ticket.Number{}
 	for n := ticket.Number(1); n <= l.Number(); n++ {
-		stored, err := ticket.Decode(f.store.Get(ticket.Key(n)).Value)
-		if err != nil {
-			t.Fatalf("replica %d is at ticket %d, and ticket %d is: %v", r, l.Number(), n, err)
+		if int(n) > len(f.stored) {
+			stored, err := ticket.Decode(f.store.Get(ticket.Key(n)).Value)
+			if err != nil {
+				t.Fatalf("replica %d is at ticket %d, and ticket %d is: %v", r, l.Number(), n, err)
+			}
+			f.stored = append(f.stored, stored)
 		}
-		for _, c := range stored.Changes {
+		for _, c := range f.stored[n-1].Changes {
 			want[c.Scope.String()] = c.Value
 			numbers[c.Scope.String()] = n
 		}
@@ -224,8 +228,8 @@
 		got[scope.String()] = l.State().Value(scope)
 		gotNumbers[scope.String()] = l.State().ScopeNumber(scope)
 	}
-	if diff := cmp.Diff(want, got) + cmp.Diff(numbers, gotNumbers); diff != "" {
-		t.Fatalf("replica %d at ticket %d (-store +replica):\n%s", r, l.Number(), diff)
+	if !reflect.DeepEqual(want, got) || !reflect.DeepEqual(numbers, gotNumbers) {
+		t.Fatalf("replica %d at ticket %d (-store +replica):\n%s", r, l.Number(), cmp.Diff(want, got)+cmp.Diff(numbers, gotNumbers))
 	}
 }
 
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -14,7 +14,7 @@
 	"knapweedstall/core/topology"
 )
 
-func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 60)) }
+func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 300)) }
 
 const (
 	zoneMacon  = `{"scope":"zone/macon-yard","value":{"region":"ga-central","state":"in"}}`
