Find the backup of a fingerprint without sorting all instances

Each canary sorted all instances by hash to find the first one. The keeper now scans them once and hashes the fingerprint once for all.

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -28,23 +28,54 @@
 	return message.Fingerprint(sum[:len(message.Fingerprint{})])
 }
 
+// ranked is an instance with its place in a fingerprint's order.
+type ranked struct {
+	hash uint64
+	ref  topology.InstanceRef
+}
+
+// rank combines the hashes of both, so that the fingerprint is hashed once for
+// all instances.
+func rank(fp uint64, ref topology.InstanceRef) ranked {
+	h := fp ^ topology.Hash64(string(ref.ID))
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9 // multiplier of the splitmix64 generator
+	return ranked{h ^ h>>27, ref}
+}
+
+func hash(fp message.Fingerprint) uint64 { return topology.Hash64(string(fp[:])) }
+
+func compareRanks(a, b ranked) int {
+	if a.hash != b.hash {
+		return cmp.Compare(b.hash, a.hash)
+	}
+	return cmp.Or(cmp.Compare(a.ref.ID, b.ref.ID), cmp.Compare(a.ref.Incarnation, b.ref.Incarnation))
+}
+
 // Rank orders instances by their hash with the fingerprint. The first one is
 // the keeper, the second its backup.
 func Rank(fp message.Fingerprint, members []topology.InstanceRef) []topology.InstanceRef {
-	type ranked struct {
-		hash uint64
-		ref  topology.InstanceRef
-	}
+	h := hash(fp)
 	list := make([]ranked, 0, len(members))
 	for _, ref := range members {
-		list = append(list, ranked{topology.Hash64(string(fp[:]), string(ref.ID)), ref})
+		list = append(list, rank(h, ref))
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.ref.ID, b.ref.ID), cmp.Compare(a.ref.Incarnation, b.ref.Incarnation))
-	})
+	slices.SortFunc(list, compareRanks)
 	out := make([]topology.InstanceRef, 0, len(list))
 	for _, r := range list {
 		out = append(out, r.ref)
 	}
 	return out
 }
+
+// First returns the first instance of Rank, or false when there is none.
+func First(fp message.Fingerprint, members []topology.InstanceRef) (topology.InstanceRef, bool) {
+	h := hash(fp)
+	var first ranked
+	for i, ref := range members {
+		if r := rank(h, ref); i == 0 || compareRanks(r, first) < 0 {
+			first = r
+		}
+	}
+	return first.ref, len(members) > 0
+}
--- a/core/quarantine/notice.go
+++ b/core/quarantine/notice.go
@@ -51,11 +51,7 @@
 
 // backup returns the highest other instance by hash.
 func (k *Keeper) backup(fp message.Fingerprint) (topology.InstanceRef, bool) {
-	others := Rank(fp, k.members)
-	if len(others) == 0 {
-		return topology.InstanceRef{}, false
-	}
-	return others[0], true
+	return First(fp, k.members)
 }
 
 // aloneMayRun reports whether all other charges are stored.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -154,3 +155,29 @@
 		}
 	})
 }
+
+// BenchmarkCanary runs one canary at a keeper that knows 690 instances.
+func BenchmarkCanary(b *testing.B) {
+	self := topology.InstanceRef{ID: "a", Incarnation: 1}
+	k := q.NewKeeper(self)
+	var members []topology.Member
+	var refs []topology.InstanceRef
+	for n := range 690 {
+		ref := topology.InstanceRef{ID: topology.InstanceID(fmt.Sprintf("instance-%03d", n)), Incarnation: 1}
+		members = append(members, topology.Member{Ref: ref})
+		refs = append(refs, ref)
+	}
+	k.SetMembers(1, members)
+	for _, c := range k.Start(1) {
+		k.ReadDone(1, object.ReadResult{Key: c.(q.ReadObject).Key, Known: true})
+	}
+	for n := uint64(1); b.Loop(); n++ {
+		fp := q.Fingerprint("acme", "dockdesk", message.KindSearch, fmt.Sprint(n))
+		backup, _ := q.First(fp, refs)
+		k.Receive(1, self, message.CanaryRequest{Sub: message.SubRequest{Kind: message.KindSearch, Fingerprint: fp, RemainingMS: 100}})
+		k.Receive(1, backup, message.NoticeAck{Fingerprint: fp, Seq: n, Status: message.NoticeGranted})
+		if out := k.Done(1, fp, n, message.SubReply{Status: message.StatusOK}); len(out) != 2 {
+			b.Fatalf("canary ended with %+v", out)
+		}
+	}
+}
