--- a/core/claim/limits_test.go
+++ b/core/claim/limits_test.go
@@ -138,6 +138,17 @@
 	}
 }
 
+// Guards against a journal that cannot be decoded being taken for an empty one,
+// which would run its keys again.
+func TestUnreadableJournal(t *testing.T) {
+	store := objecttest.NewStore()
+	store.Write(claim.Key(7), 0, []byte("x"), objecttest.FaultNone)
+	reply, ok := newDriver(store, 1).submit(1, "k").(claim.Reply)
+	if !ok || reply.Outcome != message.OutcomeNotRun || string(store.Get(claim.Key(7)).Value) != "x" {
+		t.Errorf("got %+v, journal %q", reply, store.Get(claim.Key(7)).Value)
+	}
+}
+
 // Guards against one write for each claim, which would use up the store's write
 // rate: claims that wait during a write share the next one.
 func TestWaitingClaimsShareAWrite(t *testing.T) {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -104,6 +104,30 @@
 	}
 }
 
+// Guards against an instance that knows no other one and runs a second canary
+// although a restart would forget the first crash.
+func TestAloneSecondCanaryNeedsStore(t *testing.T) {
+	self := topology.InstanceRef{ID: "a", Incarnation: 1}
+	k := q.NewKeeper(self)
+	request := message.CanaryRequest{Sub: message.SubRequest{Kind: message.KindSearch, Fingerprint: bad, RemainingMS: clock.Minute}}
+	key := k.Receive(1, self, request)[0].(q.ReadObject).Key
+	if _, ok := k.ReadDone(1, object.ReadResult{Key: key})[0].(q.RunCanary); !ok {
+		t.Fatal("the first canary did not run")
+	}
+	k.Done(2, bad, 1, message.SubReply{Status: message.StatusCrashed})
+	refused := k.Receive(3, self, request)
+	v, ok := refused[0].(q.Send).Body.(message.CanaryVerdict)
+	if !ok || v.Verdict != message.VerdictNotRun || v.Reason != message.ReasonNoBackup || k.NextWake() == 0 {
+		t.Fatalf("with the crash not stored: %+v", refused)
+	}
+	k.Tick(1000)
+	k.ReadDone(1000, object.ReadResult{Key: key, Known: true})
+	k.WriteDone(1000, object.WriteResult{Key: key, Status: object.Written, Version: 1})
+	if out := k.Receive(1001, self, request); len(out) != 1 || out[0].(q.RunCanary).Seq == 1 {
+		t.Errorf("with the crash stored: %+v", out)
+	}
+}
+
 // Guards against crashes that are forgotten when all instances are replaced:
 // what the store holds counts at a new keeper.
 func TestStoredCrashesCountAtStart(t *testing.T) {
--- a/core/ticket/decode.go
+++ b/core/ticket/decode.go
@@ -90,6 +90,9 @@
 		}
 		key, _ := token.(string)
 		field := join(path, key)
+		if !strings.HasSuffix(path, "shards") { // whose keys are ids
+			key = strings.ToLower(key) // encoding/json takes "Slots" for "slots"
+		}
 		if seen[key] {
 			return &FaultError{Path: field, Code: FaultDuplicate, Detail: "repeated key"}
 		}
--- a/core/ticket/filing_test.go
+++ b/core/ticket/filing_test.go
@@ -264,6 +264,11 @@
 
 // finishAll lets every delayed write arrive and every filing end.
 func (f *fleet) finishAll(t *rapid.T) {
+	for _, fl := range f.filers {
+		if wake := fl.NextWake(); wake == 0 || wake > f.now.Add(2*clock.Second) {
+			t.Fatalf("%s: the next tick is at %d, now is %d", fl.ticket.FilingID, wake, f.now)
+		}
+	}
 	for f.store.Late() > 0 {
 		f.store.Land(0)
 	}
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"knapweedstall/core/message"
 	"knapweedstall/core/object/objecttest"
 	"knapweedstall/core/ticket"
 	"knapweedstall/core/topology"
@@ -81,6 +82,8 @@
 		{"extra value field", ticketJSON(2, "", sub(zoneMacon, `"state"`, `"x":1,"state"`)), "zone/macon-yard", "changes[0].value.x", ticket.FaultUnknownField},
 		{"partial tuning", ticketJSON(2, "", sub(tuning, `"hedging":true,`, "")), "tuning", "changes[0].value.hedging", ticket.FaultMissing},
 		{"repeated key", ticketJSON(2, "", sub(snapshot, `"dd-0"`, `"dd-0":["c"],"dd-0"`)), "", "changes[0].value[0].shards.dd-0", ticket.FaultDuplicate},
+		{"repeated key in another case", ticketJSON(2, "", sub(dockdesk, `"slots":2`, `"slots":2,"Slots":9`)), "", "changes[0].value.services[0].targets[0].Slots", ticket.FaultDuplicate},
+		{"deep nesting", strings.Repeat("[", 99), "", strings.Repeat("[0]", 16), ticket.FaultSyntax},
 		{"repeated scope", ticketJSON(2, "", tuning, tuning), "tuning", "changes[1].scope", ticket.FaultDuplicate},
 		{"zone state", ticketJSON(2, "", sub(zoneMacon, `"in"`, `"half"`)), "zone/macon-yard", "value.state", ticket.FaultRange},
 		{"batch size", ticketJSON(2, "", sub(tuning, "8", "0")), "tuning", "value.maxBatch", ticket.FaultRange},
@@ -188,6 +191,62 @@
 	}
 }
 
+// Guards against a peer that is far behind and gets tickets that it cannot
+// apply, against a filing that is accepted twice after its operator retried, and
+// against an audit trail that depends on what a log remembers.
+func TestPeerFarBehind(t *testing.T) {
+	l := baseLog(t)
+	tickets := []ticket.Ticket{}
+	for n := range 300 {
+		draft, err := l.Draft(ticket.FilingID(fmt.Sprint("g", n)), "ada", 17, false, []ticket.Change{
+			{Scope: ticket.Scope{Kind: ticket.KindTuning}, Value: ticket.Tuning{MaxBatch: 1 + n%9}},
+		})
+		if err == nil {
+			err = l.Apply(draft)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		tickets = append(tickets, draft)
+	}
+	var filed *ticket.AlreadyFiledError
+	if _, err := l.Draft("g299", "ada", 17, false, tickets[0].Changes); !errors.As(err, &filed) || filed.Number != 301 {
+		t.Errorf("second draft of a filing: %v", err)
+	}
+	m, err := l.Answer(message.TicketsRequest{After: 1})
+	if err != nil || len(m.Checkpoint) == 0 {
+		t.Fatalf("answer to a peer far behind: %+v, %v", m, err)
+	}
+	peer := baseLog(t)
+	if err := peer.Receive(m); err != nil || peer.Number() != 301 || !l.CheckpointDue(251) || l.CheckpointDue(252) {
+		t.Errorf("peer at ticket %d, %v", peer.Number(), err)
+	}
+	if diff := cmp.Diff(l.State(), peer.State(), cmp.AllowUnexported(ticket.State{})); diff != "" {
+		t.Errorf("peer's state (-want +got):\n%s", diff)
+	}
+	trail, err := ticket.Trail(baseLog(t).State(), tickets)
+	if kept := l.Audit(); err != nil || len(trail) != 300 || !cmp.Equal(kept, trail[len(trail)-len(kept):]) {
+		t.Errorf("trail has %d records, %v", len(trail), err)
+	}
+}
+
+// Guards against accessors that return another scope's value, or no tuning
+// before any is set.
+func TestStateAccessors(t *testing.T) {
+	if got := ticket.NewState().Tuning(); got != ticket.DefaultTuning() {
+		t.Errorf("tuning before any ticket: %+v", got)
+	}
+	s := baseLog(t).State()
+	zone, _ := s.Zone("macon-yard")
+	collection, _ := s.Collection("dockdesk")
+	tenant, _ := s.Tenant("acme")
+	got := []any{zone.Region, collection.Services[0].ID, len(s.Collections()), s.Snapshots("dockdesk")[0].ID, tenant.Weight, s.Tuning().Canary}
+	want := []any{topology.RegionID("ga-central"), topology.ServiceID("dd-0"), 1, topology.SnapshotID("s1"), 1, false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("values (-want +got):\n%s", diff)
+	}
+}
+
 // BenchmarkApply applies a tuning ticket to a state of the design size: 3,900
 // targets in 1,500 services, with 3 snapshots.
 func BenchmarkApply(b *testing.B) {
