--- a/core/holding/holder.go
+++ b/core/holding/holder.go
@@ -72,6 +72,11 @@
 	nextVouch, nextCheck, planAt, nextRelief             clock.Time
 	storeOK, leaving, dirty                              bool
 
+	// continueAsked is when mayContinue was last computed, or zero after an
+	// input. Use asks before every send, and may hear hundreds of peers.
+	continueAsked clock.Time
+	continueOK    bool
+
 	reads    map[ReadID]read
 	lastRead ReadID
 	reading  map[string]bool // buckets with an own read in progress
@@ -108,6 +113,7 @@
 		h.listenUntil = now.Add(silence)
 	}
 	h.lastInput = now
+	h.continueAsked = 0
 }
 
 // SetServices replaces the services of the configuration in force.
@@ -286,16 +292,14 @@
 	}
 }
 
-// others returns the other instances that are known, in ascending order.
-func (h *Holder) others() []topology.InstanceRef {
-	var refs []topology.InstanceRef
+// knowsOthers reports whether another instance is known that may be alive.
+func (h *Holder) knowsOthers() bool {
 	for ref := range h.members {
 		if _, gone := h.terminatedAt(ref); !gone && ref != h.self.Ref {
-			refs = append(refs, ref)
+			return true
 		}
 	}
-	slices.SortFunc(refs, compareRefs)
-	return refs
+	return false
 }
 
 func compareRefs(a, b topology.InstanceRef) int {
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -196,7 +196,7 @@
 // bucket is unknown, or while this instance hears nobody although it knows
 // others: its view of who is lost is then worthless.
 func (h *Holder) newPlanner(now clock.Time) *planner {
-	if heard, _ := h.hearing(now); !heard && len(h.others()) > 0 {
+	if heard, _ := h.hearing(now); !heard && h.knowsOthers() {
 		return nil
 	}
 	p := &planner{
--- a/core/holding/planner.go
+++ b/core/holding/planner.go
@@ -189,6 +189,8 @@
 		to := p.choose(s, e.Holders[1-k])
 		if p.load[to]+2 <= mine && placement(p.zones, s, to, e.Holders[1-k]) <= placement(p.zones, s, ref, e.Holders[1-k]) {
 			p.entries[s.ID] = replace(e, k, to)
+			p.add(ref, -1)
+			p.add(to, 1)
 			return s.ID, true
 		}
 	}
--- a/core/holding/rights.go
+++ b/core/holding/rights.go
@@ -101,14 +101,21 @@
 }
 
 // Use returns, for each share, whether the instance may send new work on it to
-// warm and to cold targets at this moment.
+// warm and to cold targets at this moment. Warm without cold means that the
+// right is not fresh and that the holder only continues.
 func (h *Holder) Use(now clock.Time, service topology.ServiceID) (warm, cold [2]bool) {
 	st := h.states[service]
 	if st == nil {
 		return warm, cold
 	}
 	fresh := h.fresh(now, st)
-	mayContinue := !fresh && st.newest <= st.entry.Epoch && h.mayContinue(now)
+	mayContinue := false
+	if !fresh && st.newest <= st.entry.Epoch {
+		if h.continueAsked != now {
+			h.continueAsked, h.continueOK = now, h.mayContinue(now)
+		}
+		mayContinue = h.continueOK
+	}
 	for k := range st.tenures {
 		t := &st.tenures[k]
 		switch {
@@ -133,7 +140,7 @@
 	if heard {
 		return !reached
 	}
-	return now.Sub(h.lastHeard) < isolation || len(h.others()) == 0
+	return now.Sub(h.lastHeard) < isolation || !h.knowsOthers()
 }
 
 // hearing reports whether any peer is heard, and whether a heard one reaches the
--- /dev/null
+++ b/core/holding/rights_test.go
@@ -0,0 +1,183 @@
+package holding
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+const service = topology.ServiceID("dockdesk-0000")
+
+var (
+	self, partner = testMember(0, 3, 7), testMember(1, 3, 7).Ref
+	former, peerX = testMember(2, 3, 7).Ref, testMember(3, 3, 7).Ref
+)
+
+// holder returns an instance that received share 1 of the service from former
+// at epoch 2, at time 10000.
+func holder(partners ...topology.InstanceRef) *Holder {
+	h := New(self, idle{})
+	e := Entry{Epoch: 2, Holders: [2]topology.InstanceRef{partner, self.Ref}, Since: [2]uint64{1, 2}}
+	if len(partners) > 0 {
+		e.Former[1] = []message.FormerHolder{{Ref: former, Partners: partners}}
+	}
+	h.ApplyBucket(10000, Bucket{Key: "holdings/ga.0", Version: 1, Entries: map[topology.ServiceID]Entry{service: e}})
+	return h
+}
+
+func vouch(echo clock.Time, epoch uint64) message.Vouch {
+	return message.Vouch{RequestedAt: echo, Echo: echo, Shared: []message.SharedHolding{{Service: service, Epoch: epoch}}}
+}
+
+func ack(epoch uint64, busy, age clock.Duration) message.EntryAck {
+	return message.EntryAck{Service: service, Epoch: epoch, BusyMS: [2]clock.Duration{0, busy}, Vouched: []message.VouchAge{{Ref: former, AgeMS: age}}}
+}
+
+// Guards against a share that is used before, or long after, its former holder
+// and the work of that holder have ended.
+func TestFormerHolderRules(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		partners []topology.InstanceRef
+		do       func(h *Holder)
+		from     clock.Time // first usable time; 0 for never
+	}{
+		{"nothing known", []topology.InstanceRef{partner}, func(*Holder) {}, 0},
+		{"rule 1 waits for work", []topology.InstanceRef{partner}, func(h *Holder) { h.Receive(10100, former, ack(2, 1000, 0)) }, 11200},
+		{"rule 1 needs the epoch", []topology.InstanceRef{partner}, func(h *Holder) { h.Receive(10100, former, ack(1, 1000, 0)) }, 0},
+		{"rule 2", []topology.InstanceRef{partner}, func(h *Holder) { h.Terminated(10100, former) }, 12300},
+		{"rule 3 from the vouch", []topology.InstanceRef{partner}, func(h *Holder) { h.Receive(10500, partner, ack(2, 0, 100)) }, 14800},
+		{"rule 3 from the write", []topology.InstanceRef{partner}, func(h *Holder) { h.Receive(10100, partner, ack(2, 0, 9000)) }, 14400},
+		{"rule 3 needs every partner", []topology.InstanceRef{partner, peerX}, func(h *Holder) { h.Receive(10100, partner, ack(2, 0, 9000)) }, 0},
+		{"an earlier partner terminated", []topology.InstanceRef{partner, peerX}, func(h *Holder) {
+			h.Receive(10100, partner, ack(2, 0, 9000))
+			h.Terminated(10200, peerX)
+		}, 14600},
+		{"the last partner terminated", []topology.InstanceRef{partner}, func(h *Holder) { h.Terminated(10200, partner) }, 0},
+		{"a former holder of both shares", []topology.InstanceRef{former}, func(h *Holder) { h.Receive(10100, partner, ack(2, 0, 9000)) }, 0},
+		{"no former holder", nil, func(*Holder) {}, 10000},
+	} {
+		h, got := holder(c.partners...), clock.Time(0)
+		c.do(h)
+		for now := clock.Time(10000); now < 20000 && got == 0; now += 100 {
+			h.Receive(now, partner, vouch(now, 2))
+			if warm, _ := h.Use(now, service); warm[1] {
+				got = now
+			}
+		}
+		if got != c.from {
+			t.Errorf("%s: usable from %d, want %d", c.name, got, c.from)
+		}
+	}
+}
+
+// Guards against a deviation from the table of docs/design.md section 3.2. The
+// last vouch was requested at 11000; each case is asked at 14000.
+func TestUseBySituation(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		do         func(h *Holder)
+		warm, cold bool
+	}{
+		{"fresh", func(h *Holder) { h.Receive(13900, partner, vouch(12001, 2)) }, true, true},
+		{"vouch counts from its request", func(h *Holder) { h.Receive(13900, partner, vouch(12000, 2)) }, true, false},
+		{"vouch of another epoch", func(h *Holder) { h.Receive(13900, partner, vouch(13800, 1)) }, true, false},
+		{"no peer reaches the store", func(h *Holder) { h.Heard(13900, peerX, false) }, true, false},
+		{"a peer reaches the store", func(h *Holder) { h.Heard(13900, peerX, true) }, false, false},
+		{"relayed read counts from its request", func(h *Holder) {
+			e, _ := h.Holders(service)
+			h.Heard(13900, peerX, true)
+			h.Receive(13950, peerX, message.EntryReadReply{RequestedAt: 12000, OK: true, Entries: []message.ServiceEntry{{Service: service, Entry: e}}})
+		}, false, false},
+		{"relayed read confirms", func(h *Holder) {
+			e, _ := h.Holders(service)
+			h.Heard(13900, peerX, true)
+			h.Receive(13950, peerX, message.EntryReadReply{RequestedAt: 12001, OK: true, Entries: []message.ServiceEntry{{Service: service, Entry: e}}})
+		}, true, true},
+		{"reaches the store itself", func(h *Holder) { h.StoreReachable(13900, true) }, false, false},
+		{"hears nobody for less than 3 s", func(h *Holder) { h.SetMembers(13900, []topology.Member{testMember(1, 3, 7)}) }, true, false},
+		{"newer epoch known", func(h *Holder) {
+			h.Heard(13900, peerX, false)
+			h.Receive(13900, peerX, vouch(13800, 3))
+		}, false, false},
+	} {
+		h := holder()
+		h.Receive(11000, partner, vouch(11000, 2))
+		h.Heard(11001, partner, false)
+		for now := clock.Time(11100); now < 14000; now += 100 {
+			h.Tick(now)
+		}
+		c.do(h)
+		warm, cold := h.Use(14000, service)
+		if diff := cmp.Diff([2][2]bool{{false, c.warm}, {false, c.cold}}, [2][2]bool{warm, cold}); diff != "" {
+			t.Errorf("%s: use (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
+
+// Guards against work without a right after isolation, after a pause, and by a
+// holder whose right was never fresh: its entry may be long out of date.
+func TestContinueNeedsRecentKnowledge(t *testing.T) {
+	h := holder()
+	h.Heard(10000, peerX, false)
+	if warm, _ := h.Use(10100, service); warm[1] {
+		t.Error("a holder that was never fresh continues")
+	}
+	h.Receive(10100, partner, vouch(10100, 2))
+	for now := clock.Time(10200); now <= 14100; now += 100 {
+		h.Tick(now)
+	}
+	h.SetMembers(14100, []topology.Member{testMember(1, 3, 7)})
+	if warm, _ := h.Use(14100, service); warm[1] {
+		t.Error("an isolated holder continues after 3 s")
+	}
+	h.Heard(20000, peerX, false)
+	if warm, _ := h.Use(20000, service); warm[1] {
+		t.Error("a holder continues right after a pause")
+	}
+}
+
+// Guards against a holder that uses a share which it lost and received again
+// while it missed the epochs between: the holder in between may still work.
+func TestMissedEpochs(t *testing.T) {
+	h := holder()
+	h.Receive(10000, partner, vouch(10000, 2))
+	e, _ := h.Holders(service)
+	e = replace(replace(e, 1, former), 1, self.Ref)
+	h.Receive(10100, partner, message.EntryNotice{Service: service, Entry: e})
+	h.Receive(13000, partner, vouch(13000, e.Epoch))
+	if warm, _ := h.Use(13000, service); warm[1] {
+		t.Error("the share is used although the holder in between has not ended")
+	}
+}
+
+// Guards against a share that becomes usable again when the other one is lost,
+// and against use after an acknowledgement.
+func TestGivenUpShares(t *testing.T) {
+	h := New(self, idle{})
+	both := Entry{Epoch: 1, Holders: [2]topology.InstanceRef{self.Ref, self.Ref}, Since: [2]uint64{1, 1}}
+	first := replace(both, 0, partner)
+	second := replace(first, 1, peerX)
+	for _, s := range []struct {
+		now  clock.Time
+		e    Entry
+		ack  bool
+		want [2]bool
+	}{
+		{10000, both, false, [2]bool{true, true}},
+		{20000, first, false, [2]bool{true, true}},
+		{22000, first, false, [2]bool{false, true}},
+		{24000, second, false, [2]bool{false, true}},
+		{24100, second, true, [2]bool{false, false}},
+	} {
+		h.Receive(s.now-1, partner, vouch(s.now-1, 2))
+		h.Receive(s.now, partner, message.EntryNotice{Service: service, Entry: s.e, WantAck: s.ack})
+		if warm, _ := h.Use(s.now, service); warm != s.want {
+			t.Errorf("at %d ms: usable %v, want %v", s.now, warm, s.want)
+		}
+	}
+}
