--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -13,6 +13,11 @@
 	"knapweedstall/core/topology"
 )
 
+// EndMargin is how long after its deadline a call still occupies its slot. A
+// slot that was free exactly at the deadline let the next call reach the target
+// before the target had stopped the last one.
+const EndMargin = 20 * clock.Millisecond
+
 const (
 	// maxTargetWork bounds the time that a call may take at a target. Transfers
 	// of shares wait for it.
@@ -69,6 +74,7 @@
 	lastItem ItemID
 	latency  latency
 	perCall  float64 // mean number of items of a call
+	cost     batchCost
 	budget   budget
 	delay    clock.Duration             // queueing delay of the newest started sub-request
 	ran      map[message.SubID]struct{} // the ids in runs
@@ -155,7 +161,8 @@
 }
 
 // Connected records that the driver opened a connection to a target while it
-// had none: the target is unknown until it answers.
+// had none, not counting those whose last call timed out: the target is unknown
+// until it answers.
 func (s *Service) Connected(now clock.Time, id topology.TargetID) []Command {
 	if t := s.target(id); t != nil {
 		t.allow.Connected(now)
@@ -243,7 +250,7 @@
 	s.expire(now)
 	c := s.capacity(now)
 	s.refuseHopeless(now, c)
-	s.sendHedges(now, c)
+	s.sendHedges(now)
 	s.sendQueued(now)
 	s.wake = s.nextWake(now, c)
 	out := s.out
