Let a graceful stop wait for filings that still catch up

Cause: a ticket counted as in progress only once its filing machine had started, so Stopped could be emitted while the tickets ahead of it were read. Change: the filing is entered when it arrives. The simulated driver waits for requests in progress after Stopped, as package instance does. Before: TestStoppedWaitsForFilings fails with "stopped with an open filing". After: it passes.

--- a/core/node/config.go
+++ b/core/node/config.go
@@ -245,9 +245,10 @@
 // ticketFiled files a ticket once this instance has seen all tickets ahead of
 // it.
 func (n *Node) ticketFiled(e TicketFiled) {
+	n.filings[e.Call] = &filing{call: e.Call, ticket: e.Ticket} // a graceful stop waits for it
 	n.catchUp(func(now clock.Time, readable bool) {
 		if !readable {
-			n.emit(AnswerTicket{Call: e.Call, Ticket: e.Ticket, Err: &ticket.UnavailableError{Number: e.Ticket.Number}})
+			n.answerTicket(e.Call, e.Ticket, &ticket.UnavailableError{Number: e.Ticket.Number})
 			return
 		}
 		n.startFiling(now, e)
@@ -258,7 +259,7 @@
 	t := e.Ticket
 	next := n.log.Number() + 1
 	if t.Number > next {
-		n.emit(AnswerTicket{Call: e.Call, Ticket: t, Err: &ticket.GapError{InForce: n.log.Number(), Got: t.Number}})
+		n.answerTicket(e.Call, t, &ticket.GapError{InForce: n.log.Number(), Got: t.Number})
 		return
 	}
 	if t.Number == 0 || t.Number == next {
@@ -266,11 +267,11 @@
 		var already *ticket.AlreadyFiledError
 		if errors.As(err, &already) {
 			t.Number = already.Number
-			n.emit(AnswerTicket{Call: e.Call, Ticket: t})
+			n.answerTicket(e.Call, t, nil)
 			return
 		}
 		if err != nil {
-			n.emit(AnswerTicket{Call: e.Call, Ticket: t, Err: err})
+			n.answerTicket(e.Call, t, err)
 			return
 		}
 		t = draft
@@ -305,14 +306,18 @@
 }
 
 func (n *Node) filingDone(now clock.Time, f *filing, c ticket.Finish) {
-	delete(n.filings, f.call)
 	n.alarms.forget(f.machine)
 	if c.Err == nil {
 		n.logf(LevelInfo, "ticketAccepted", Attr{"ticket", number(uint64(c.Ticket.Number))}, Attr{"operator", string(c.Ticket.Operator)})
 		n.applyTicket(c.Ticket)
 		n.configChanged(now)
 	}
-	n.emit(AnswerTicket{Call: f.call, Ticket: c.Ticket, Err: c.Err})
+	n.answerTicket(f.call, c.Ticket, c.Err)
+}
+
+func (n *Node) answerTicket(call CallID, t ticket.Ticket, err error) {
+	delete(n.filings, call)
+	n.emit(AnswerTicket{Call: call, Ticket: t, Err: err})
 }
 
 // controller returns the admission control of a collection.
