Do not take frames that waited through a pause as new

Cause: an instance that was paused counts what waited in its sockets as heard at the moment of handling. Cut off during the pause, it went on starting work for 3 s after the pause instead of 3 s after it last reached anyone. Change: membership dates inputs within 100 ms of a gap of more than 250 ms to the last input before the gap. TestIsolated drove the set without ticks, which now is a pause, so it gets the tick that a driver sends. Before: case {19, 4, again.1.1.30 pause.1.2.600 again.3.1.1 isolate.1.7.3500} starts a call 3139 ms after i1 was cut off. After: it passes.

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -18,6 +18,7 @@
 
 // Tick sends gossip when it is due and forgets what is too old.
 func (s *Set) Tick(now clock.Time) []Send {
+	s.arrivedAt(now)
 	if now.Before(s.nextGossip) {
 		return nil
 	}
--- a/core/membership/set.go
+++ b/core/membership/set.go
@@ -33,6 +33,12 @@
 	syncPeriod    = 5 * clock.Second  // at most one whole list per peer in this time
 	endedTerm     = 60 * clock.Minute // how long ended incarnations are remembered
 	heardTerm     = 1500 * clock.Millisecond
+
+	// maxPause is the longest gap between inputs that counts as running. What is
+	// handled within drainTerm of a longer one may have waited through it, so it
+	// does not show that anything is reachable now.
+	maxPause  = 250 * clock.Millisecond
+	drainTerm = 100 * clock.Millisecond
 )
 
 // record is what is known of one instance. The newest incarnation replaces
@@ -58,6 +64,10 @@
 	heardAt    clock.Time // last frame of any peer; 0 when never
 	startedAt  clock.Time
 	nextGossip clock.Time
+
+	lastInput   clock.Time
+	pausedAt    clock.Time // last input before the newest pause
+	drainsUntil clock.Time // what arrives until then may be as old as pausedAt
 }
 
 // New returns the Set of the instance self, which knows nobody else.
@@ -70,6 +80,19 @@
 	}
 }
 
+// arrivedAt returns the time from which an input that is handled now is certain
+// to be.
+func (s *Set) arrivedAt(now clock.Time) clock.Time {
+	if s.lastInput != 0 && now.Sub(s.lastInput) > maxPause {
+		s.pausedAt, s.drainsUntil = s.lastInput, now.Add(drainTerm)
+	}
+	s.lastInput = now
+	if now < s.drainsUntil {
+		return s.pausedAt
+	}
+	return now
+}
+
 // Listed applies the platform's list. An incarnation that the list has named
 // and no longer names has ended; the list lags, so one that it has not named
 // yet may just be new. It returns the incarnations that are now known to have
@@ -115,12 +138,13 @@
 }
 
 func (s *Set) touch(now clock.Time, ref topology.InstanceRef) *record {
+	at := s.arrivedAt(now)
 	r := s.records[ref.ID]
 	if r == nil || r.member.Ref != ref {
 		return nil
 	}
 	r.heardAt, r.lostAt = now, 0
-	s.heardAt = now
+	s.heardAt = max(s.heardAt, at)
 	return r
 }
 
@@ -136,7 +160,7 @@
 }
 
 // StoreReplied says that the store answered.
-func (s *Set) StoreReplied(now clock.Time) { s.storeAt = now }
+func (s *Set) StoreReplied(now clock.Time) { s.storeAt = max(s.storeAt, s.arrivedAt(now)) }
 
 // learn adds or updates a member. It returns the older incarnation that m
 // proves to have ended, if there is one.
--- a/core/membership/set_test.go
+++ b/core/membership/set_test.go
@@ -72,12 +72,28 @@
 			t.Errorf("Isolated(%d) = %v, want %v", c.at, got, c.want)
 		}
 	}
+	s.Tick(4400) // without inputs in between, the reply may have waited through a pause
 	s.StoreReplied(4500)
 	if s.Isolated(7000) {
 		t.Error("isolated although the store replied")
 	}
 }
 
+// Guards against an instance that takes frames which waited while it was paused
+// as proof that it is connected now.
+func TestIsolatedAfterPause(t *testing.T) {
+	s := membership.New(1, member("a", 1), 1)
+	s.Connected(1000, member("b", 1))
+	s.Heard(3900, member("b", 1).Ref, message.Header{})
+	if !s.Isolated(4000) {
+		t.Error("a frame that may be as old as the pause counts as new")
+	}
+	s.Heard(4000, member("b", 1).Ref, message.Header{})
+	if s.Isolated(4000) {
+		t.Error("isolated although a frame arrived after the pause")
+	}
+}
+
 // Guards against a fleet in which a change reaches only some members: sets that
 // exchange gossip must agree after a bounded number of rounds.
 func TestGossipConverges(t *testing.T) {
--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -94,7 +94,9 @@
 	seed     uint64
 	machines int
 	actions  string
-}{}
+}{
+	{"frames that waited through a pause do not delay isolation", 19, 4, "again.1.1.30 pause.1.2.600 again.3.1.1 isolate.1.7.3500"},
+}
 
 // Guards against the return of failures that the stateful test found.
 func TestFoundCases(t *testing.T) {
