--- a/core/node/node.go
+++ b/core/node/node.go
@@ -18,6 +18,7 @@
 type Node struct {
 	self    topology.Member
 	opts    options
+	setup   Setup // what the node was built from
 	members *membership.Set
 	log     *ticket.Log
 	holder  *holding.Holder
@@ -115,6 +116,7 @@
 		held:      map[topology.ServiceID]*held{},
 		calls:     map[TargetCallID]targetCall{},
 	}
+	n.setup = Setup{Now: now, Self: self, Seed: o.seed, Buckets: o.buckets, Hedging: o.hedging, Admission: o.admission, Canary: o.canary}
 	n.holder = holding.New(self, work{n}, holding.WithSeed(o.seed^uint64(self.Ref.Incarnation)), holding.WithBuckets(o.buckets))
 	return n
 }
--- /dev/null
+++ b/core/node/wire.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"encoding/json"
+	"reflect"
+
+	"knapweedstall/core/message"
+	"knapweedstall/core/ticket"
+	"knapweedstall/core/topology"
+	"knapweedstall/core/trace"
+)
+
+// The events and commands with fields of interface types have JSON forms of
+// their own, in which such a value is {"type","value"}.
+
+// bodyTypes names the messages between instances.
+var bodyTypes = mustRegister([]entry{
+	{trace.Register[message.Hello], "hello"},
+	{trace.Register[message.Announce], "announce"},
+	{trace.Register[message.SubRequest], "subRequest"},
+	{trace.Register[message.SubReply], "subReply"},
+	{trace.Register[message.CancelSub], "cancelSub"},
+	{trace.Register[message.TargetReport], "targetReport"},
+	{trace.Register[message.Gossip], "gossip"},
+	{trace.Register[message.MemberList], "memberList"},
+	{trace.Register[message.TicketsRequest], "ticketsRequest"},
+	{trace.Register[message.Tickets], "tickets"},
+	{trace.Register[message.TableDigest], "tableDigest"},
+	{trace.Register[message.TableBuckets], "tableBuckets"},
+	{trace.Register[message.Vouch], "vouch"},
+	{trace.Register[message.EntryNotice], "entryNotice"},
+	{trace.Register[message.EntryAck], "entryAck"},
+	{trace.Register[message.EntryRead], "entryRead"},
+	{trace.Register[message.EntryReadReply], "entryReadReply"},
+	{trace.Register[message.RunRequest], "runRequest"},
+	{trace.Register[message.RunReply], "runReply"},
+	{trace.Register[message.CanaryRequest], "canaryRequest"},
+	{trace.Register[message.CanaryVerdict], "canaryVerdict"},
+	{trace.Register[message.CanaryNotice], "canaryNotice"},
+	{trace.Register[message.NoticeAck], "noticeAck"},
+	{trace.Register[message.CanaryEnd], "canaryEnd"},
+	{trace.Register[message.CanaryQuery], "canaryQuery"},
+	{trace.Register[message.CrashRecords], "crashRecords"},
+	{trace.Register[message.CrashReport], "crashReport"},
+})
+
+// errorTypes names the errors of a filing.
+var errorTypes = mustRegister([]entry{
+	{trace.Register[faultForm], "fault"},
+	{trace.Register[ticket.GapError], "gap"},
+	{trace.Register[ticket.AlreadyFiledError], "alreadyFiled"},
+	{trace.Register[ticket.ConflictError], "conflict"},
+	{trace.Register[ticket.UnavailableError], "unavailable"},
+})
+
+// faultForm is a ticket.FaultError whose scope may be absent.
+type faultForm struct {
+	Scope  *ticket.Scope `json:",omitempty"`
+	Path   string
+	Code   ticket.FaultCode
+	Detail string
+}
+
+// mustRegister panics when a name or type occurs twice, which no input causes.
+func mustRegister(types []entry) *trace.Registry {
+	r := trace.NewRegistry()
+	for _, t := range types {
+		if err := t.register(r, t.name); err != nil {
+			panic(err)
+		}
+	}
+	return r
+}
+
+func decodeBody(data json.RawMessage) (message.Body, error) {
+	v, err := bodyTypes.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return v.(message.Body), nil // all registered types are bodies
+}
+
+type peerReceivedWire struct {
+	From   topology.InstanceRef
+	Header message.Header
+	Bodies []json.RawMessage
+}
+
+// MarshalJSON implements json.Marshaler.
+func (e PeerReceived) MarshalJSON() ([]byte, error) {
+	w := peerReceivedWire{From: e.From, Header: e.Header}
+	for _, b := range e.Bodies {
+		data, err := bodyTypes.Encode(b)
+		if err != nil {
+			return nil, err
+		}
+		w.Bodies = append(w.Bodies, data)
+	}
+	return json.Marshal(w)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (e *PeerReceived) UnmarshalJSON(data []byte) error {
+	var w peerReceivedWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	*e = PeerReceived{From: w.From, Header: w.Header}
+	for _, raw := range w.Bodies {
+		b, err := decodeBody(raw)
+		if err != nil {
+			return err
+		}
+		e.Bodies = append(e.Bodies, b)
+	}
+	return nil
+}
+
+type sendPeerWire struct {
+	To   topology.Member
+	Body json.RawMessage
+}
+
+// MarshalJSON implements json.Marshaler.
+func (c SendPeer) MarshalJSON() ([]byte, error) {
+	body, err := bodyTypes.Encode(c.Body)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(sendPeerWire{To: c.To, Body: body})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *SendPeer) UnmarshalJSON(data []byte) error {
+	var w sendPeerWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	body, err := decodeBody(w.Body)
+	*c = SendPeer{To: w.To, Body: body}
+	return err
+}
+
+type answerTicketWire struct {
+	Call   CallID
+	Ticket ticket.Ticket
+	Err    json.RawMessage `json:",omitempty"` // absent when the ticket was accepted
+}
+
+// MarshalJSON implements json.Marshaler.
+func (c AnswerTicket) MarshalJSON() ([]byte, error) {
+	w := answerTicketWire{Call: c.Call, Ticket: c.Ticket}
+	if c.Err != nil {
+		var err error
+		if w.Err, err = errorTypes.Encode(formOf(c.Err)); err != nil {
+			return nil, err
+		}
+	}
+	return json.Marshal(w)
+}
+
+// formOf returns the registered form of an error.
+func formOf(err error) any {
+	fault, ok := err.(*ticket.FaultError)
+	if !ok {
+		return reflect.Indirect(reflect.ValueOf(err)).Interface()
+	}
+	f := faultForm{Path: fault.Path, Code: fault.Code, Detail: fault.Detail}
+	if !fault.Scope.IsZero() {
+		f.Scope = &fault.Scope
+	}
+	return f
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *AnswerTicket) UnmarshalJSON(data []byte) error {
+	var w answerTicketWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	*c = AnswerTicket{Call: w.Call, Ticket: w.Ticket}
+	if len(w.Err) == 0 {
+		return nil
+	}
+	v, err := errorTypes.Decode(w.Err)
+	if err != nil {
+		return err
+	}
+	c.Err = errorOf(v)
+	return nil
+}
+
+// errorOf returns the error of a registered form.
+func errorOf(v any) error {
+	if f, ok := v.(faultForm); ok {
+		fault := &ticket.FaultError{Path: f.Path, Code: f.Code, Detail: f.Detail}
+		if f.Scope != nil {
+			fault.Scope = *f.Scope
+		}
+		return fault
+	}
+	p := reflect.New(reflect.TypeOf(v))
+	p.Elem().Set(reflect.ValueOf(v))
+	return p.Interface().(error) // all other registered types are errors as pointers
+}
--- a/core/trace/registry.go
+++ b/core/trace/registry.go
@@ -64,6 +64,26 @@
 	return v.Elem().Interface(), nil
 }
 
+// Encode returns the form {"type","value"} of a value, for a field whose type is
+// an interface. It fails with *TypeError or *EncodeError.
+func (r *Registry) Encode(v any) (json.RawMessage, error) {
+	n, err := r.encode(v)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(n)
+}
+
+// Decode returns the value that Encode was given. It fails with *TypeError, or
+// with the error of encoding/json.
+func (r *Registry) Decode(data json.RawMessage) (any, error) {
+	var n named
+	if err := json.Unmarshal(data, &n); err != nil {
+		return nil, err
+	}
+	return r.decode(n)
+}
+
 // encodeAll returns the array of the named forms.
 func encodeAll[C any](r *Registry, values []C) (json.RawMessage, error) {
 	all := make([]named, len(values))
