Record the trace of a running instance

Change: option WithTrace of package instance and settings field trace. The file is replaced at the start, readable by its owner only, and closed after the loop has ended, also when the instance is aborted.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -43,6 +43,8 @@
 	log      *log.Logger
 	nodeOpts []node.Option
 	node     *node.Node // used by the loop's goroutine only
+	tracer   *tracer    // records the node; nil when nothing is recorded
+	trace    string     // file of the trace; empty for none
 	events   chan node.Event
 	requests chan func()
 	hub      *peer.Hub
@@ -69,10 +71,16 @@
 	return func(in *Instance) { in.nodeOpts = append(in.nodeOpts, opts...) }
 }
 
+// WithTrace records all events and commands of the node in the file at path,
+// which is replaced. It overrides the settings.
+func WithTrace(path string) Option {
+	return func(in *Instance) { in.trace = path }
+}
+
 // New returns an instance that is not yet running.
 func New(s settings.Settings, incarnation topology.Incarnation, logger *log.Logger, opts ...Option) *Instance {
 	in := &Instance{
-		settings: s, clock: clock.NewSystem(), log: logger,
+		settings: s, clock: clock.NewSystem(), log: logger, trace: s.Trace,
 		self: topology.Member{
 			Ref:     topology.InstanceRef{ID: s.Instance, Incarnation: incarnation},
 			Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, State: topology.MemberLive,
@@ -131,6 +139,10 @@
 	in.self.Address = peerAddress(in.settings, listeners[1])
 	opts := append([]node.Option{node.WithSeed(uint64(in.self.Ref.Incarnation))}, in.nodeOpts...)
 	in.node = node.New(in.clock.Now(), in.self, opts...)
+	if err := in.startTrace(); err != nil {
+		return err
+	}
+	defer in.closeTrace()
 	in.hub = peer.NewHub(in.self, string(in.settings.PeerToken), in, func() message.Header { return *in.header.Load() })
 	// The loop outlives ctx: a graceful stop needs it.
 	work, cancel := context.WithCancel(context.Background())
--- a/instance/loop.go
+++ b/instance/loop.go
@@ -58,7 +58,7 @@
 
 func (in *Instance) apply(ctx context.Context, e node.Event) {
 	now := in.clock.Now()
-	commands := in.node.Handle(now, e)
+	commands := in.handle(now, e)
 	header := in.node.Header(now)
 	in.header.Store(&header)
 	for _, c := range commands {
--- /dev/null
+++ b/instance/trace.go
@@ -0,0 +1,83 @@
+package instance
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/node"
+	"knapweedstall/core/trace"
+)
+
+const (
+	// traceBuffer lets the loop write without waiting for the disk most of the
+	// time.
+	traceBuffer = 1 << 20
+	// traceMode keeps callers' queries from other users of the machine.
+	traceMode = 0o600
+)
+
+// TraceError says that the trace could not be written.
+type TraceError struct {
+	Path  string
+	Cause error
+}
+
+// Error implements error.
+func (e *TraceError) Error() string { return fmt.Sprintf("trace %s: %v", e.Path, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *TraceError) Unwrap() error { return e.Cause }
+
+// tracer records a node in a file.
+type tracer struct {
+	file     *os.File
+	buffer   *bufio.Writer
+	recorder *trace.Recorder[node.Event, node.Command]
+}
+
+// startTrace begins to record the node, when a trace is wanted.
+func (in *Instance) startTrace() error {
+	if in.trace == "" {
+		return nil
+	}
+	file, err := os.OpenFile(in.trace, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, traceMode)
+	if err != nil {
+		return errors.WithStack(&TraceError{in.trace, err})
+	}
+	t := &tracer{file: file, buffer: bufio.NewWriterSize(file, traceBuffer)}
+	if t.recorder, err = node.Record(t.buffer, in.node); err != nil {
+		_ = file.Close()
+		return errors.WithStack(&TraceError{in.trace, err})
+	}
+	in.tracer = t
+	return nil
+}
+
+// handle passes an event on to the node, or to its recorder. A fault in
+// recording does not disturb the node.
+func (in *Instance) handle(now clock.Time, e node.Event) []node.Command {
+	if in.tracer == nil {
+		return in.node.Handle(now, e)
+	}
+	return in.tracer.recorder.Handle(now, e)
+}
+
+// closeTrace ends the trace after the loop has ended.
+func (in *Instance) closeTrace() {
+	if in.tracer == nil {
+		return
+	}
+	err := in.tracer.recorder.Close()
+	for _, f := range []func() error{in.tracer.buffer.Flush, in.tracer.file.Close} {
+		if e := f(); err == nil {
+			err = e
+		}
+	}
+	if err != nil {
+		in.log.Warn("trace is incomplete", "code", "traceIncomplete", "err", &TraceError{in.trace, err})
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,6 +31,7 @@
 	Limits   Limits   `json:"limits"`
 	Timeouts Timeouts `json:"timeouts"`
 	LogLevel LogLevel `json:"logLevel"` // debug, info, warn or error; default: info
+	Trace    string   `json:"trace"`    // file that records all events and commands, callers' queries included; default: empty, for none
 }
 
 // Listen holds the IP addresses and ports on which the instance listens. Port 0
