Run unknown requests as canaries and requests that may not repeat one at a time

Cause: a query that crashes targets went to all services at once. Change: the node joins package quarantine in. A query whose fingerprint is not known to be safe goes to one target first, through the instance that its hash names; runs go the same way. A test sends a crashing query through all instances of a tier at the same time, 10 times each.

--- a/core/node/config.go
+++ b/core/node/config.go
@@ -50,6 +50,7 @@
 		}
 		n.restore(now, r)
 		n.boot.done = true
+		n.keeper(now, n.canaries.keeper.Start(now))
 		n.emit(ListObjects{Prefixes: []string{ticketsPrefix}, Since: n.boot.since})
 		n.emit(ListObjects{Prefixes: []string{holdingsPrefix}})
 	})
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -6,6 +6,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
+	"knapweedstall/core/quarantine"
 	"knapweedstall/core/query"
 	"knapweedstall/core/ticket"
 	"knapweedstall/core/topology"
@@ -21,12 +22,13 @@
 
 // search is a caller's query in progress at its entry.
 type search struct {
-	call       CallID
-	seq        uint64
-	collection topology.CollectionID
-	config     ticket.Number
-	budget     clock.Duration // time from arrival to deadline
-	query      *query.Query
+	call        CallID
+	seq         uint64
+	collection  topology.CollectionID
+	fingerprint message.Fingerprint
+	config      ticket.Number
+	budget      clock.Duration // time from arrival to deadline
+	query       *query.Query
 }
 
 // searchArrived admits or refuses a query and starts it.
@@ -41,11 +43,11 @@
 	id := message.RequestID{Entry: n.self.Ref, Seq: n.seq}
 	request := query.Request{
 		Tenant: e.Tenant, Collection: e.Collection, Query: e.Query, Limit: e.Limit, Deadline: e.Deadline,
-		Fingerprint: n.fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query),
+		Fingerprint: quarantine.Fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query),
 	}
-	s := &search{call: e.Call, seq: n.seq, collection: e.Collection, config: n.log.Number(), budget: e.Deadline.Sub(now)}
+	s := &search{call: e.Call, seq: n.seq, collection: e.Collection, fingerprint: request.Fingerprint, config: n.log.Number(), budget: e.Deadline.Sub(now)}
 	snapshots := n.log.State().Snapshots(e.Collection)
-	s.query = query.New(id, request, snapshots, router{n}, query.WithDelays(n.delays), query.WithKnownGood(n.knownGood()))
+	s.query = query.New(id, request, snapshots, router{n}, query.WithDelays(n.delays), query.WithKnownGood(known{n}))
 	n.searches[s.seq], n.bySearch[s.call] = s, s
 	n.query(now, s, s.query.Start(now))
 }
@@ -58,7 +60,7 @@
 	if len(n.log.State().Snapshots(e.Collection)) == 0 {
 		return RefusedUnavailable, noSnapshot
 	}
-	if retryAfter, quarantined := n.quarantined(now, n.fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query)); quarantined {
+	if retryAfter, quarantined := n.quarantined(now, quarantine.Fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query)); quarantined {
 		return RefusedQuarantined, retryAfter
 	}
 	if n.opts.admission {
@@ -115,17 +117,17 @@
 	for _, c := range commands {
 		switch c := c.(type) {
 		case query.SendSub:
-			n.routed(now, c)
+			n.routed(c)
 			if !n.sendRef(c.To, c.Sub) {
 				n.queryLost(now, s, c.To)
 			}
 		case query.CancelSub:
-			n.unrouted(now, c.To, c.ID.Service)
+			n.unrouted(c.To, c.ID.Service)
 			n.sendRef(c.To, message.CancelSub{ID: c.ID})
 		case query.RunCanary:
-			n.runCanary(now, c.Sub)
+			n.runCanary(now, s, c.Sub)
 		case query.CancelCanary:
-			n.cancelCanary(now, c.ID)
+			delete(n.canaries.asked, c.ID)
 		case query.Finish:
 			n.finished(s, c.Answer)
 		}
@@ -151,7 +153,7 @@
 // subReply takes a holder's reply as the entry, or as the keeper of a canary.
 func (n *Node) subReply(now clock.Time, from topology.InstanceRef, r message.SubReply) {
 	n.replied(now, from, r)
-	if n.runSubReplied(now, from, r) || n.canaryReplied(now, from, r) {
+	if n.canaryReplied(now, from, r) {
 		return
 	}
 	s := n.searches[r.ID.Request.Seq]
@@ -160,6 +162,7 @@
 		return
 	}
 	n.controller(s.collection).Observe(now, r.ID.Service, r.QueueDelayMS, s.budget)
+	n.crashSeen(now, s, r)
 	n.query(now, s, s.query.Replied(now, from, r))
 }
 
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -42,6 +42,7 @@
 	routes    map[topology.ServiceID]*route
 	filings   map[CallID]*filing
 	runs      runs
+	canaries  canaries
 	unixMS    int64 // wall clock minus now, as the driver last told it
 
 	// As a holder.
@@ -60,11 +61,12 @@
 }
 
 type options struct {
-	seed      uint64
-	buckets   int
-	hedging   bool
-	admission bool
-	canary    bool
+	seed       uint64
+	unixOffset int64
+	buckets    int
+	hedging    bool
+	admission  bool
+	canary     bool
 }
 
 // Option changes a Node.
@@ -73,6 +75,10 @@
 // WithSeed sets the seed of all random choices.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
+// WithUnixOffset sets the wall clock in Unix ms minus now, for times that other
+// instances read.
+func WithUnixOffset(ms int64) Option { return func(o *options) { o.unixOffset = ms } }
+
 // WithBuckets sets the number of holder table buckets of each region. All
 // instances must agree on it.
 func WithBuckets(n int) Option { return func(o *options) { o.buckets = n } }
@@ -110,6 +116,8 @@
 		routes:    map[topology.ServiceID]*route{},
 		filings:   map[CallID]*filing{},
 		runs:      newRuns(),
+		canaries:  newCanaries(self.Ref, clock.Duration(o.unixOffset)),
+		unixMS:    o.unixOffset,
 		services:  map[topology.ServiceID]topology.Service{},
 		zoneOut:   map[topology.ZoneID]bool{},
 		held:      map[topology.ServiceID]*held{},
@@ -221,6 +229,7 @@
 	}
 	n.spread.liveHash = hash
 	n.holding(n.holder.SetMembers(now, live))
+	n.keeper(now, n.canaries.keeper.SetMembers(now, live))
 }
 
 // ended passes on that incarnations have provably ended.
--- a/core/node/route.go
+++ b/core/node/route.go
@@ -102,12 +102,12 @@
 }
 
 // routed counts a sub-request on its way.
-func (n *Node) routed(_ clock.Time, c query.SendSub) {
+func (n *Node) routed(c query.SendSub) {
 	n.ensureLoad(c.Sub.ID.Service, c.To).outstanding++
 }
 
 // unrouted ends the count for a sub-request that was cancelled.
-func (n *Node) unrouted(_ clock.Time, to topology.InstanceRef, service topology.ServiceID) {
+func (n *Node) unrouted(to topology.InstanceRef, service topology.ServiceID) {
 	if l := n.load(service, to); l != nil && l.outstanding > 0 {
 		l.outstanding--
 	}
@@ -115,7 +115,7 @@
 
 // replied ends the count for a sub-request and notes what the holder reported.
 func (n *Node) replied(now clock.Time, from topology.InstanceRef, r message.SubReply) {
-	n.unrouted(now, from, r.ID.Service)
+	n.unrouted(from, r.ID.Service)
 	l := n.load(r.ID.Service, from)
 	if l == nil {
 		return
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -10,6 +10,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
 	"knapweedstall/core/object"
+	"knapweedstall/core/quarantine"
 	"knapweedstall/core/topology"
 )
 
@@ -48,8 +49,6 @@
 	partition uint32
 	run       claim.Run
 	sub       message.SubRequest
-	holder    topology.InstanceRef
-	attempts  int
 }
 
 // NextWake implements sleeper.
@@ -67,7 +66,7 @@
 	refusal, retryAfter := n.admitCaller(now, e.Tenant, e.Collection)
 	if refusal == "" {
 		var quarantined bool
-		fp := n.fingerprint(e.Tenant, e.Collection, message.KindRun, e.Payload)
+		fp := quarantine.Fingerprint(e.Tenant, e.Collection, message.KindRun, e.Payload)
 		if retryAfter, quarantined = n.quarantined(now, fp); quarantined {
 			refusal = RefusedQuarantined
 		}
@@ -208,52 +207,19 @@
 		ID:   message.SubID{Request: message.RequestID{Entry: n.self.Ref, Seq: n.seq}, Service: service},
 		Kind: message.KindRun, Tenant: run.ID.Tenant, Collection: run.Collection, Snapshot: snapshots[0].ID,
 		Shards: snapshots[0].Shards[service][:1], Query: run.Payload, Limit: 1,
-		Fingerprint: n.fingerprint(run.ID.Tenant, run.Collection, message.KindRun, run.Payload),
+		Fingerprint: quarantine.Fingerprint(run.ID.Tenant, run.Collection, message.KindRun, run.Payload),
 	}}
 	n.runs.handed[n.seq] = h
 	n.alarms.set(h, func(now clock.Time) { n.runEnded(now, h, message.OutcomeUnknown, nil, message.ReasonDeadline) })
 	n.releaseRun(now, h)
 }
 
-// sendRun sends a run to a holder of its service.
-func (n *Node) sendRun(now clock.Time, h *handedRun) {
-	holder, ok := router{n}.Route(now, h.sub.ID.Service, h.holder)
-	if !ok || h.attempts == maxRunAttempts {
-		n.runEnded(now, h, message.OutcomeNotRun, nil, message.ReasonNoHolder)
-		return
-	}
-	h.holder = holder
-	h.sub.ID.Attempt = uint8(h.attempts)
-	h.attempts++
-	h.sub.RemainingMS = h.run.Deadline.Sub(now)
-	if !n.sendRef(holder, h.sub) {
-		n.runEnded(now, h, message.OutcomeNotRun, nil, message.ReasonNoHolder)
-	}
-}
-
-// runSubReplied takes a holder's reply to a run. Only a reply that says notRun
-// permits another attempt.
-func (n *Node) runSubReplied(now clock.Time, from topology.InstanceRef, r message.SubReply) bool {
-	h := n.runs.handed[r.ID.Request.Seq]
-	if h == nil || r.ID.Request.Entry != n.self.Ref {
-		return false
-	}
-	if from != h.holder || r.ID != h.sub.ID || r.Tenant != h.sub.Tenant {
-		n.stats.RepliesDropped++
-		return true
-	}
-	n.runSettled(now, h, r)
-	return true
-}
-
 func (n *Node) runSettled(now clock.Time, h *handedRun, r message.SubReply) {
-	switch {
-	case r.Status == message.StatusOK:
+	switch r.Status {
+	case message.StatusOK:
 		n.runEnded(now, h, message.OutcomeAnswered, receiptOf(r), "")
-	case r.Status == message.StatusNotRun && r.Reason == message.ReasonQuarantined:
+	case message.StatusNotRun, message.StatusSnapshotGone:
 		n.runEnded(now, h, message.OutcomeNotRun, nil, r.Reason)
-	case r.Status == message.StatusNotRun || r.Status == message.StatusSnapshotGone:
-		n.sendRun(now, h)
 	default:
 		n.runEnded(now, h, message.OutcomeUnknown, nil, r.Reason)
 	}
@@ -269,22 +235,16 @@
 func (n *Node) runEnded(now clock.Time, h *handedRun, o message.Outcome, answer []byte, reason message.Reason) {
 	delete(n.runs.handed, h.sub.ID.Request.Seq)
 	n.alarms.forget(h)
-	n.runLeft(now, h, o)
+	delete(n.canaries.asked, h.sub.ID)
 	j := n.runs.journals[h.partition]
 	n.journal(now, h.partition, j, j.RunDone(now, claim.RunResult{
 		ID: h.run.ID, Attempt: h.run.Attempt, Outcome: o, Answer: answer, Reason: reason, RetryAfter: runRetry,
 	}))
 }
 
-// runsLost handles an instance that can't be reached: a run that it may have
-// sent has an unknown outcome, and requests that wait for it as a writer go to
-// another one.
+// runsLost handles an instance that can't be reached: requests that wait for it
+// as a writer go to another one.
 func (n *Node) runsLost(now clock.Time, ref topology.InstanceRef) {
-	for _, seq := range slices.Sorted(maps.Keys(n.runs.handed)) {
-		if h := n.runs.handed[seq]; h != nil && h.holder == ref {
-			n.runEnded(now, h, message.OutcomeUnknown, nil, message.ReasonNoHolder)
-		}
-	}
 	for _, seq := range slices.Sorted(maps.Keys(n.runs.waiting)) {
 		if c := n.runs.waiting[seq]; c != nil && c.writer == ref {
 			n.offerRun(now, c)
--- a/core/node/status.go
+++ b/core/node/status.go
@@ -16,6 +16,7 @@
 	Incomplete     uint64 `json:"incomplete"` // answers with shards missing
 	Refused        uint64 `json:"refused"`
 	Runs           uint64 `json:"runs"`
+	Canaries       uint64 `json:"canaries"`    // asked for as an entry or writer
 	SubRequests    uint64 `json:"subRequests"` // taken as a holder
 	TargetCalls    uint64 `json:"targetCalls"`
 	TargetItems    uint64 `json:"targetItems"`
--- a/core/node/wake.go
+++ b/core/node/wake.go
@@ -25,6 +25,7 @@
 	heap   alarmHeap
 	pushed map[sleeper]clock.Time // the earliest pending wish of each sleeper
 	count  uint64
+	now    clock.Time // while run is in progress, else 0
 }
 
 func newAlarms() *alarms { return &alarms{pushed: map[sleeper]clock.Time{}} }
@@ -35,6 +36,8 @@
 	if at == 0 {
 		return
 	}
+	// A sleeper that wants the present time again must not keep run busy.
+	at = max(at, a.now+1)
 	if pending, ok := a.pushed[who]; ok && pending <= at {
 		return
 	}
@@ -48,6 +51,8 @@
 
 // run wakes all sleepers that are due. Each wake function calls set again.
 func (a *alarms) run(now clock.Time) {
+	a.now = now
+	defer func() { a.now = 0 }()
 	for len(a.heap) > 0 && a.heap[0].at <= now {
 		next := heap.Pop(&a.heap).(alarm)
 		if a.pushed[next.who] != next.at {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -129,8 +129,9 @@
 		listeners[i] = listener
 	}
 	in.self.Address = peerAddress(in.settings, listeners[1])
-	opts := append([]node.Option{node.WithSeed(uint64(in.self.Ref.Incarnation))}, in.nodeOpts...)
-	in.node = node.New(in.clock.Now(), in.self, opts...)
+	now := in.clock.Now()
+	opts := []node.Option{node.WithSeed(uint64(in.self.Ref.Incarnation)), node.WithUnixOffset(in.clock.UnixMillis() - int64(now))}
+	in.node = node.New(now, in.self, append(opts, in.nodeOpts...)...)
 	in.hub = peer.NewHub(in.self, string(in.settings.PeerToken), in, func() message.Header { return *in.header.Load() })
 	// The loop outlives ctx: a graceful stop needs it.
 	work, cancel := context.WithCancel(context.Background())
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -53,6 +53,8 @@
 		{"incomplete", c.Incomplete, m.last.Incomplete},
 		{"refused", c.Refused, m.last.Refused},
 		{"runs", c.Runs, m.last.Runs},
+		{"canaries", c.Canaries, m.last.Canaries},
+		{"claim_writes", c.ClaimWrites, m.last.ClaimWrites},
 		{"sub_requests", c.SubRequests, m.last.SubRequests},
 		{"target_calls", c.TargetCalls, m.last.TargetCalls},
 		{"target_items", c.TargetItems, m.last.TargetItems},
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -22,4 +22,12 @@
 	register[message.EntryReadReply](17)
 	register[message.RunRequest](18)
 	register[message.RunReply](19)
+	register[message.CanaryRequest](20)
+	register[message.CanaryVerdict](21)
+	register[message.CanaryNotice](22)
+	register[message.NoticeAck](23)
+	register[message.CanaryEnd](24)
+	register[message.CanaryQuery](25)
+	register[message.CrashReport](26)
+	register[message.CrashRecords](27)
 }
