Tell the queues when connections to targets open and close

A target that restarted while idle was taken for warm until its next answer. The target client now reports the first and the last connection to an address, and the queue treats the target as unknown. When a call gets no answer until its deadline, the idle connections to that target are closed too, since whatever silenced one may have silenced them all.

--- a/core/node/config.go
+++ b/core/node/config.go
@@ -204,6 +204,7 @@
 func (n *Node) configChanged(now clock.Time) {
 	state := n.log.State()
 	n.services = map[topology.ServiceID]topology.Service{}
+	n.targetAt = map[string]targetCall{}
 	var all []topology.Service
 	n.zoneOut = map[topology.ZoneID]bool{}
 	for _, scope := range state.Scopes() {
@@ -215,6 +216,9 @@
 		for _, s := range c.Services {
 			n.services[s.ID] = s
 			all = append(all, s)
+			for _, t := range s.Targets {
+				n.targetAt[t.Address] = targetCall{service: s.ID, target: t.ID}
+			}
 		}
 	}
 	n.holding(n.holder.SetServices(now, all))
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -86,6 +86,12 @@
 	Failure dispatch.Failure
 }
 
+// TargetConnected says that the first connection to a target's address opened.
+type TargetConnected struct{ Address string }
+
+// TargetDisconnected says that the last connection to a target's address closed.
+type TargetDisconnected struct{ Address string }
+
 // ObjectRead is the result of a ReadObject.
 type ObjectRead struct {
 	Op     OpID
@@ -118,19 +124,21 @@
 // Tick lets time pass.
 type Tick struct{ UnixMS int64 } // wall clock; 0 when the driver does not tell it
 
-func (SearchArrived) event()  {}
-func (RunArrived) event()     {}
-func (CallerGone) event()     {}
-func (TicketFiled) event()    {}
-func (PeerReceived) event()   {}
-func (PeerConnected) event()  {}
-func (PeerLost) event()       {}
-func (TargetAnswered) event() {}
-func (TargetFailed) event()   {}
-func (ObjectRead) event()     {}
-func (ObjectWritten) event()  {}
-func (ObjectsWatched) event() {}
-func (StoreFailed) event()    {}
-func (MembersListed) event()  {}
-func (StopRequested) event()  {}
-func (Tick) event()           {}
+func (SearchArrived) event()      {}
+func (RunArrived) event()         {}
+func (CallerGone) event()         {}
+func (TicketFiled) event()        {}
+func (PeerReceived) event()       {}
+func (PeerConnected) event()      {}
+func (PeerLost) event()           {}
+func (TargetAnswered) event()     {}
+func (TargetFailed) event()       {}
+func (TargetConnected) event()    {}
+func (TargetDisconnected) event() {}
+func (ObjectRead) event()         {}
+func (ObjectWritten) event()      {}
+func (ObjectsWatched) event()     {}
+func (StoreFailed) event()        {}
+func (MembersListed) event()      {}
+func (StopRequested) event()      {}
+func (Tick) event()               {}
--- a/core/node/held.go
+++ b/core/node/held.go
@@ -153,6 +153,21 @@
 	n.dispatch(h, h.service.Failed(now, c.call, e.Failure))
 }
 
+// targetConnection notes that a target may have restarted: its first connection
+// opened or its last one closed.
+func (n *Node) targetConnection(now clock.Time, address string, open bool) {
+	at, ok := n.targetAt[address]
+	h := n.held[at.service]
+	if !ok || h == nil {
+		return
+	}
+	if open {
+		n.dispatch(h, h.service.Connected(now, at.target))
+		return
+	}
+	n.dispatch(h, h.service.Disconnected(now, at.target))
+}
+
 // dispatch carries out commands of a service's queue.
 func (n *Node) dispatch(h *held, commands []dispatch.Command) {
 	for _, c := range commands {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -47,6 +47,7 @@
 
 	// As a holder.
 	services map[topology.ServiceID]topology.Service // in force
+	targetAt map[string]targetCall                   // by address: service and target
 	zoneOut  map[topology.ZoneID]bool
 	held     map[topology.ServiceID]*held
 	calls    map[TargetCallID]targetCall
@@ -175,6 +176,10 @@
 		n.targetAnswered(now, e)
 	case TargetFailed:
 		n.targetFailed(now, e)
+	case TargetConnected:
+		n.targetConnection(now, e.Address, true)
+	case TargetDisconnected:
+		n.targetConnection(now, e.Address, false)
 	case ObjectRead:
 		n.objectRead(now, e)
 	case ObjectWritten:
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -80,7 +80,6 @@
 		tokens:   map[string]topology.TenantID{},
 		events:   make(chan node.Event, eventQueue),
 		requests: make(chan func(), 256),
-		targets:  target.NewClient(targetConnections, s.Timeouts.TargetDialMS),
 		platform: platform.NewClient(s.Platform, platform.WithTimeout(s.Timeouts.PlatformCallMS)),
 		metrics:  newMetrics(),
 		stopped:  make(chan struct{}),
@@ -88,6 +87,7 @@
 		waiting:  map[node.CallID]chan node.Command{},
 		calls:    map[node.TargetCallID]*targetCall{},
 	}
+	in.targets = target.NewClient(targetConnections, s.Timeouts.TargetDialMS, target.WithObserver(in.targetConnection))
 	for _, o := range opts {
 		o(in)
 	}
--- a/instance/targets.go
+++ b/instance/targets.go
@@ -98,6 +98,15 @@
 	return out
 }
 
+// targetConnection is told of the connections to targets.
+func (in *Instance) targetConnection(address string, connected bool) {
+	if connected {
+		in.events <- node.TargetConnected{Address: address}
+		return
+	}
+	in.events <- node.TargetDisconnected{Address: address}
+}
+
 // cancelTarget asks the target to give a call up. The call's own reply proves
 // that it did; closing the connection would prove nothing.
 func (in *Instance) cancelTarget(ctx context.Context, c node.CancelTarget) {
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,21 +61,95 @@
 // Unwrap returns the cause.
 func (e *ProtocolError) Unwrap() error { return e.Cause }
 
+// Observer is told when the first connection to an address opens and when the
+// last one closes. It is called from many goroutines.
+type Observer func(address string, connected bool)
+
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	maxConns    int
+	dialTimeout clock.Duration
+	observer    Observer
+
+	mu      sync.Mutex
+	open    map[string]int          // connections by address
+	clients map[string]*http.Client // by address, so that one target's idle connections can be closed
 }
 
+// Option changes a Client.
+type Option func(*Client)
+
+// WithObserver sets who is told of connections.
+func WithObserver(o Observer) Option { return func(c *Client) { c.observer = o } }
+
 // NewClient returns a Client that keeps at most maxConns connections to each
 // target and gives up dialling after dialTimeout.
-func NewClient(maxConns int, dialTimeout clock.Duration) *Client {
-	transport := &http.Transport{
-		MaxConnsPerHost:     maxConns,
-		MaxIdleConnsPerHost: maxConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext,
-	}
-	return &Client{http: &http.Client{Transport: transport}}
+func NewClient(maxConns int, dialTimeout clock.Duration, opts ...Option) *Client {
+	c := &Client{
+		maxConns: maxConns, dialTimeout: dialTimeout, observer: func(string, bool) {},
+		open: map[string]int{}, clients: map[string]*http.Client{},
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// client returns the HTTP client for one target.
+func (c *Client) client(address string) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.clients[address]
+	if h == nil {
+		h = &http.Client{Transport: &http.Transport{
+			MaxConnsPerHost:     c.maxConns,
+			MaxIdleConnsPerHost: c.maxConns,
+			IdleConnTimeout:     idleConnTimeout,
+			DialContext:         c.dialer(c.dialTimeout),
+		}}
+		c.clients[address] = h
+	}
+	return h
+}
+
+// dialer returns a dial function that counts the open connections.
+func (c *Client) dialer(timeout clock.Duration) func(context.Context, string, string) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout.Std()}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		c.count(address, 1)
+		return &countedConn{Conn: conn, closed: sync.OnceFunc(func() { c.count(address, -1) })}, nil
+	}
+}
+
+func (c *Client) count(address string, change int) {
+	c.mu.Lock()
+	before := c.open[address]
+	after := before + change
+	c.open[address] = after
+	if after == 0 {
+		delete(c.open, address)
+	}
+	c.mu.Unlock()
+	if (before == 0) != (after == 0) {
+		c.observer(address, after > 0)
+	}
+}
+
+// countedConn tells when it is closed. The transport closes a connection as soon
+// as it sees that the target did.
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.closed()
+	return errors.WithStack(c.Conn.Close())
 }
 
 // Do makes one call and waits for its answer until ctx ends. It fails with
@@ -93,11 +168,16 @@
 	if err != nil {
 		return Answer{}, errors.WithStack(&NotSentError{Cause: err})
 	}
-	resp, err := c.http.Do(req)
+	client := c.client(call.Address)
+	resp, err := client.Do(req)
 	if err != nil && !connected.Load() {
 		return Answer{}, errors.WithStack(&NotSentError{Cause: err})
 	}
 	if err != nil {
+		if ctx.Err() != nil {
+			// Whatever silenced this connection may have silenced the idle ones.
+			client.CloseIdleConnections()
+		}
 		return Answer{}, lost(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -120,7 +200,7 @@
 		return errors.WithStack(&NotSentError{Cause: err})
 	}
 	req.Header.Set(HeaderCall, id)
-	resp, err := c.http.Do(req)
+	resp, err := c.client(address).Do(req)
 	if err != nil {
 		return lost(ctx, err)
 	}
