Test crash, pause and rolling replacement of instances

Cause: nothing showed that the tier keeps answering while an instance is killed, paused or replaced in separate processes.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"knapweedstall/cmd"
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
 	"knapweedstall/io/caller"
 )
 
@@ -99,15 +101,25 @@
 type member struct {
 	id, zone                 string
 	callers, peers, operator string
+	reach                    string // peerAddress of the settings; empty for peers
 	settings                 string
 	process                  *process
 }
 
+// signal sends a signal to the member's process.
+func (m *member) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := m.process.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // cluster is a whole deployment of separate processes.
 type cluster struct {
 	t        *testing.T
 	dir      string
-	platform string
+	platform string // address of the platform stand-in
+	store    string // address of the platform as the members know it
 	control  string // of the targets
 	ticket   []byte // the first ticket
 	members  []*member
@@ -117,9 +129,19 @@
 // newCluster starts the stand-ins with the given number of services of each
 // collection, and n instances spread over the three zones.
 func newCluster(t *testing.T, n, services int) *cluster {
+	t.Helper()
+	c := newStandIns(t, services)
+	for range n {
+		c.run(c.addMember())
+	}
+	return c
+}
+
+// newStandIns starts the stand-ins only.
+func newStandIns(t *testing.T, services int) *cluster {
 	t.Helper()
 	ports := freePorts(t, 2)
-	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], control: ports[1]}
+	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], store: ports[0], control: ports[1]}
 	c.platProc = start(t, "emulate", "-listen", c.platform, "platform")
 	ticketFile := filepath.Join(c.dir, "first.json")
 	start(t, "emulate", "-listen", c.control, "-services", fmt.Sprint(services), "-ticket", ticketFile, "targets")
@@ -132,35 +154,46 @@
 		status, _, err := c.call(http.MethodGet, c.platform, "/v1/instances", "", nil)
 		return err == nil && status == http.StatusOK
 	})
-	zones := []string{"macon-yard", "warner-dock", "perry-shed"}
-	for i := range n {
-		c.members = append(c.members, c.newMember(fmt.Sprintf("peachline-%02d", i), zones[i%len(zones)]))
-	}
-	for _, m := range c.members {
-		c.run(m)
-	}
 	return c
 }
 
-func (c *cluster) newMember(id, zone string) *member {
+var zones = []string{"macon-yard", "warner-dock", "perry-shed"}
+
+// addMember adds the next member, which does not run yet.
+func (c *cluster) addMember() *member {
+	i := len(c.members)
 	ports := freePorts(c.t, 3)
-	m := &member{id: id, zone: zone, callers: ports[0], peers: ports[1], operator: ports[2]}
-	m.settings = filepath.Join(c.dir, id+".hujson")
+	m := &member{
+		id: fmt.Sprintf("peachline-%02d", i), zone: zones[i%len(zones)],
+		callers: ports[0], peers: ports[1], operator: ports[2],
+	}
+	m.settings = filepath.Join(c.dir, m.id+".hujson")
+	c.members = append(c.members, m)
+	return m
+}
+
+// writeSettings writes the settings file of m.
+func (c *cluster) writeSettings(m *member) {
+	c.t.Helper()
+	reach := m.reach
+	if reach == "" {
+		reach = m.peers
+	}
 	text := fmt.Sprintf(`{
   "instance": %q, "zone": %q, "region": "ga-central",
-  "listen": {"callers": %q, "peers": %q, "operators": %q},
+  "listen": {"callers": %q, "peers": %q, "operators": %q}, "peerAddress": %q,
   "platform": %q, "adminToken": %q, "peerToken": %q,
   "callers": [{"token": %q, "tenant": %q}, {"token": %q, "tenant": %q}],
-}`, id, zone, m.callers, m.peers, m.operator, c.platform, adminToken, peerToken, tokenA, tenantA, tokenB, tenantB)
+}`, m.id, m.zone, m.callers, m.peers, m.operator, reach, c.store, adminToken, peerToken, tokenA, tenantA, tokenB, tenantB)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	return m
 }
 
 // run starts the process of a member.
 func (c *cluster) run(m *member) {
 	c.t.Helper()
+	c.writeSettings(m)
 	m.process = start(c.t, "serve", "-settings", m.settings)
 }
 
@@ -189,8 +222,13 @@
 
 // query searches through a member. The status is 0 when there was no reply.
 func (c *cluster) query(m *member, token, collection, text string) (int, caller.SearchAnswer, caller.Error) {
-	body, _ := json.Marshal(caller.SearchRequest{Collection: "", Query: text, DeadlineMS: 1000, Limit: 10})
-	body = bytes.Replace(body, []byte(`"collection":""`), []byte(fmt.Sprintf(`"collection":%q`, collection)), 1)
+	return c.search(m, token, caller.SearchRequest{
+		Collection: topology.CollectionID(collection), Query: text, DeadlineMS: clock.Second, Limit: 10,
+	})
+}
+
+func (c *cluster) search(m *member, token string, r caller.SearchRequest) (int, caller.SearchAnswer, caller.Error) {
+	body, _ := json.Marshal(r)
 	var a caller.SearchAnswer
 	var e caller.Error
 	status, data, err := c.call(http.MethodPost, m.callers, "/v1/query", token, body)
