Refuse a closing bracket behind a caller's body

Cause: json.Decoder.More reports no further value before ']' or '}', so '{...}]' was accepted as a query and answered with status 200. Change: the body has to end behind its value. An answer without hits holds [] as docs/design.md has it, no longer null. Conclusion: TestDecodeBody and TestBadInputOfCallers fail without the change.

--- a/instance/callers.go
+++ b/instance/callers.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
 	"knapweedstall/core/node"
 	"knapweedstall/core/query"
 	"knapweedstall/core/topology"
@@ -54,7 +55,7 @@
 		Snapshot:  a.Snapshot,
 		Config:    uint64(c.Config),
 		Coverage:  caller.Coverage{Total: a.Coverage.Total, Answered: a.Coverage.Answered, Missing: missing},
-		Hits:      a.Hits,
+		Hits:      append([]message.Hit{}, a.Hits...), // [] and not null without hits
 		LatencyMS: in.clock.Now().Sub(start),
 	}, nil
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -161,7 +161,8 @@
 	if err := dec.Decode(out); err != nil {
 		return NotRun(CodeBadRequest, 0, "the body is not valid: "+err.Error())
 	}
-	if dec.More() {
+	// More would overlook a closing bracket behind the value.
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return NotRun(CodeBadRequest, 0, "the body holds more than one value")
 	}
 	return nil
