--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -78,21 +81,34 @@
 
 func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
 
-// freePorts returns n loopback addresses that were free a moment ago.
+// The ports of the processes lie below the range that the system takes for
+// outgoing connections and for port 0, so that none is taken between its choice
+// and its use, also while a member is replaced.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+
+// freePorts returns n loopback addresses that are free. None is returned twice
+// before the range is used up.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	var listeners []net.Listener
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		if tries == lastPort-firstPort {
+			t.Fatal("no free port")
+		}
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10)))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
-	}
-	for _, l := range listeners {
 		_ = l.Close()
+		out = append(out, l.Addr().String())
 	}
 	return out
 }
--- a/e2e/store_test.go
+++ b/e2e/store_test.go
@@ -194,8 +194,12 @@
 	}
 	wait.Wait()
 	c.faultPlatform(platform.Faults{})
+	ran := 0
 	for i, r := range requests {
-		c.requireOneRun(r, append(replies[i], c.sendEverywhere(r, 1)...))
+		ran += c.requireOneRun(r, append(replies[i], c.sendEverywhere(r, 1)...))
+	}
+	if ran == 0 {
+		t.Error("no request ran")
 	}
 	c.requireNoOverload()
 }
@@ -213,9 +217,10 @@
 	return out
 }
 
-// requireOneRun checks the replies to r against what the targets ran. The last
-// round was sent with the store healthy, so its replies are final.
-func (c *cluster) requireOneRun(r runRequest, replies []runReply) {
+// requireOneRun checks the replies to r against what the targets ran, and
+// returns how often that was. The last round was sent with the store healthy, so
+// its replies are final.
+func (c *cluster) requireOneRun(r runRequest, replies []runReply) int {
 	c.t.Helper()
 	receipts := map[string]bool{}
 	var lines []string
@@ -239,6 +244,7 @@
 			c.t.Errorf("%+v with the store healthy: %+v", r, reply)
 		}
 	}
+	return n
 }
 
 // Guards against a run request that never runs, or runs again, when the
@@ -264,7 +270,11 @@
 	c.controlTargets(http.MethodPut, "/faults", target.Faults{}, nil)
 	c.members = c.members[1:]
 	time.Sleep(settleLimit)
+	ran := 0
 	for i, r := range requests {
-		c.requireOneRun(r, append([]runReply{replies[i]}, c.sendEverywhere(r, 2)...))
+		ran += c.requireOneRun(r, append([]runReply{replies[i]}, c.sendEverywhere(r, 2)...))
+	}
+	if ran == 0 {
+		t.Error("no request ran")
 	}
 }
