--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -153,9 +153,18 @@
 	return c
 }
 
+// maxClusters bounds the clusters that run at the same time. Bounds in seconds
+// say nothing when the processes of many clusters wait for one another's
+// processor time.
+const maxClusters = 4
+
+var clusters = make(chan struct{}, maxClusters)
+
 // newStandIns starts the stand-ins only.
 func newStandIns(t *testing.T, services int) *cluster {
 	t.Helper()
+	clusters <- struct{}{}
+	t.Cleanup(func() { <-clusters })
 	ports := freePorts(t, 2)
 	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], store: ports[0], control: ports[1]}
 	c.platProc = start(t, "emulate", "-listen", c.platform, "platform")
