Record every abandoned claim as not run

The stateful test now lets the writers record what they know and refuses a claim that its live writer leaves open, since such a claim makes every resend through another instance unknown.

The ticket test also delivers old checkpoints to running replicas; before, a log that went back to one was not detected.

--- a/core/claim/batch.go
+++ b/core/claim/batch.go
@@ -52,12 +52,13 @@
 	return b, out
 }
 
-// addOutcome records the outcome unless the journal holds a claim that is not
-// this entry's.
+// addOutcome records the outcome unless the journal holds another claim of the
+// key that is later, settled or of another instance. Recording "not run" over an
+// earlier attempt also keeps a write with a lost reply from taking effect later.
 func (j *Journal) addOutcome(b *batch, e *entry) {
 	old, exists := j.book.get(e.id)
-	own := old.Claimant == j.self && old.Attempt <= e.attempt
-	if exists && (!own || old.State == StateAnswered || old.State == StateUnknown) {
+	earlier := old.Attempt <= e.attempt && (old.Claimant == j.self && old.State == StateClaimed || old.State == StateNotRun)
+	if exists && !earlier {
 		j.remove(e)
 		return
 	}
@@ -172,7 +173,7 @@
 			e.phase = phaseQueued
 			e.attempt = 0 // earlier attempts are in the book
 		case e.phase == phaseFinished && !e.ran && !durable:
-			j.remove(e)
+			j.discard(e)
 		}
 	}
 	return out
@@ -233,7 +234,7 @@
 			e.phase = phaseQueued
 			e.attempt = 0
 		case e.phase == phaseFinished && !e.ran && it.record.State == StateClaimed:
-			j.remove(e)
+			j.discard(e)
 		}
 	}
 }
--- a/core/claim/journal.go
+++ b/core/claim/journal.go
@@ -221,12 +221,25 @@
 // abandon makes sure that a claim whose callers were told "not run" is never
 // handed out: what may have been written is recorded as not run.
 func (j *Journal) abandon(e *entry) {
-	if e.phase == phaseQueued && !e.exposed && e.attempt == 0 {
-		j.remove(e)
-		return
-	}
+	nothing := e.phase == phaseQueued && !e.exposed && e.attempt == 0
 	e.phase = phaseFinished
 	e.result = RunResult{ID: e.id, Attempt: e.attempt, Outcome: message.OutcomeNotRun}
+	if nothing {
+		j.discard(e)
+	}
+}
+
+// discard ends an abandoned entry whose last attempt was not written. An earlier
+// attempt that the journal holds as claimed was not run either and is still to
+// be recorded as such.
+func (j *Journal) discard(e *entry) {
+	if j.book != nil {
+		if c, _ := j.book.get(e.id); c.Claimant == j.self && c.State == StateClaimed {
+			e.attempt = c.Attempt
+			return
+		}
+	}
+	j.remove(e)
 }
 
 // refuse answers an entry of which nothing was written.
--- a/core/claim/journal_test.go
+++ b/core/claim/journal_test.go
@@ -246,6 +246,30 @@
 	w.store.Land(rapid.IntRange(0, w.store.Late()-1).Draw(t, "write"))
 }
 
+// drain lets the writers record what they know. A claim that its writer leaves
+// open makes every resend through another instance unknown.
+func (w *tier) drain(t *rapid.T) {
+	for len(w.sends) > 0 {
+		w.run(t)
+	}
+	for range 6 {
+		w.now = w.now.Add(6 * clock.Second) // longer than any pause of a writer
+		for _, wr := range w.writers {
+			w.handle(t, wr, wr.Tick(w.now))
+			for range 3 {
+				w.complete(t, wr, objecttest.FaultNone)
+			}
+		}
+	}
+	for n := range keys {
+		for _, wr := range w.writers {
+			if c := w.stored(t, key(n)); !wr.Idle() || c.Claimant == wr.ref && c.State == claim.StateClaimed {
+				t.Fatalf("%v left open by %v", key(n), wr.ref)
+			}
+		}
+	}
+}
+
 // finish lets every deadline pass, then resends every key through a new writer
 // with the store up.
 func (w *tier) finish(t *rapid.T) {
@@ -267,6 +291,7 @@
 		w.store.Land(0)
 	}
 	w.store.Down = false
+	w.drain(t)
 	last := w.start()
 	for n := range keys {
 		id := key(n)
--- a/core/ticket/filing_test.go
+++ b/core/ticket/filing_test.go
@@ -26,16 +26,17 @@
 }
 
 type fleet struct {
-	now       clock.Time
-	store     *objecttest.Store
-	logs      [3]*ticket.Log
-	floor     [3]ticket.Number // highest number seen in force since the replica started
-	filers    []*filer
-	filings   int
-	accepted  map[ticket.Number]ticket.FilingID
-	notFiled  map[ticket.FilingID]bool
-	reference *ticket.Log
-	stored    []ticket.Ticket // decoded once; a ticket in the store never changes
+	now         clock.Time
+	store       *objecttest.Store
+	logs        [3]*ticket.Log
+	floor       [3]ticket.Number // highest number seen in force since the replica started
+	filers      []*filer
+	filings     int
+	accepted    map[ticket.Number]ticket.FilingID
+	notFiled    map[ticket.FilingID]bool
+	reference   *ticket.Log
+	checkpoints [][]byte
+	stored      []ticket.Ticket // decoded once; a ticket in the store never changes
 }
 
 func (f *fleet) handle(t *rapid.T, fl *filer, commands []ticket.Command) {
@@ -175,6 +176,19 @@
 	}
 }
 
+// checkpoint stores a replica's state, and gives any earlier checkpoint to one.
+func (f *fleet) checkpoint(t *rapid.T) {
+	data, err := ticket.EncodeCheckpoint(f.logs[rapid.IntRange(0, 2).Draw(t, "from")].State())
+	if err != nil {
+		t.Fatalf("checkpoint: %v", err)
+	}
+	f.checkpoints = append(f.checkpoints, data)
+	m := message.Tickets{Checkpoint: rapid.SampledFrom(f.checkpoints).Draw(t, "checkpoint")}
+	if err := f.logs[rapid.IntRange(0, 2).Draw(t, "to")].Receive(m); err != nil {
+		t.Fatalf("checkpoint: %v", err)
+	}
+}
+
 func (f *fleet) check(t *rapid.T) {
 	for {
 		n := f.reference.Number() + 1
@@ -256,6 +270,7 @@
 			"sync":    f.sync,
 			"sync2":   f.sync,
 			"restart": f.restart,
+			"stale":   f.checkpoint,
 			"store":   func(*rapid.T) { f.store.Down = !f.store.Down },
 		})
 		f.finishAll(t)
