Add benchmarks of the control and query paths over fleet sizes

A fleet of up to 690 nodes runs on a network and a store in memory in virtual time, which measures gossip, vouches, tickets and losses without sockets. None of them runs in go test ./... .

--- a/core/claim/limits_test.go
+++ b/core/claim/limits_test.go
@@ -155,18 +155,19 @@
 	}
 }
 
-// BenchmarkClaim claims batches on a journal with 1,000 answered claims and
-// records their outcomes.
+// BenchmarkClaim claims batches on a journal with answered claims and records
+// their outcomes.
 func BenchmarkClaim(b *testing.B) {
-	for _, size := range []int{1, 16, 128} {
-		b.Run(fmt.Sprint(size), func(b *testing.B) {
+	for _, c := range []struct{ journal, size int }{{1000, 1}, {1000, 16}, {1000, 128}, {100, 16}, {2000, 16}} {
+		b.Run(fmt.Sprintf("journal=%d/batch=%d", c.journal, c.size), func(b *testing.B) {
+			size := c.size
 			store := objecttest.NewStore()
 			d := newDriver(store, 1<<60)
 			const future = clock.Time(1000 * 365 * 24 * clock.Hour) // so that these claims stay
-			for n := range 1000 {
+			for n := range c.journal {
 				d.answer(future, d.submit(future, fmt.Sprintf("018f3a52-7c1e-7000-8000-%012d", n)).(claim.Run), "ok")
 			}
-			b.ReportMetric(float64(len(store.Get(claim.Key(7)).Value))/1000, "journal-B/claim")
+			journal := float64(len(store.Get(claim.Key(7)).Value))
 			now := clock.Time(1)
 			d = newDriver(store, 1<<60+1)
 			for b.Loop() {
@@ -191,6 +192,7 @@
 				}
 			}
 			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*size), "us/claim")
+			b.ReportMetric(journal/float64(c.journal), "journal-B/claim")
 		})
 	}
 }
--- /dev/null
+++ b/core/node/fleet_test.go
@@ -0,0 +1,398 @@
+package node
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/holding"
+	"knapweedstall/core/message"
+	"knapweedstall/core/object"
+	"knapweedstall/core/ticket"
+	"knapweedstall/core/topology"
+	"knapweedstall/io/peer"
+)
+
+const (
+	simStart   = clock.Time(40 * clock.Second) // the members of the first list are no news any more
+	peerDelay  = clock.Millisecond
+	storeDelay = 3 * clock.Millisecond
+	zonesEach  = 4 // zones of each of the 2 regions
+)
+
+// fleetSize is one size of the scale from today to the design.
+type fleetSize struct{ instances, services int }
+
+func (s fleetSize) String() string {
+	return fmt.Sprintf("instances=%d/services=%d", s.instances, s.services)
+}
+
+// fleetSizes keep the design's 1,950 services of 2 servers on 690 instances.
+var fleetSizes = []fleetSize{{15, 42}, {100, 282}, {345, 975}, {690, 1950}}
+
+// fakeFleet is a fleet of nodes on a network and a store in memory, in virtual
+// time. Frames carry one body each.
+type fakeFleet struct {
+	now      clock.Time
+	nodes    []*fakeNode
+	byRef    map[topology.InstanceRef]*fakeNode
+	objects  map[string]message.StoredObject
+	revision int64
+	queue    fakeQueue
+	order    uint64
+	whole    bool // all members are simulated
+
+	sent   map[string]int // bytes of frames by body type
+	frames map[string]int
+	reads  int
+	writes int
+	busy   time.Duration // in Handle
+}
+
+type fakeNode struct {
+	*Node
+	dead  bool
+	since int64
+	sent  int // bytes
+	got   int // bytes
+}
+
+type fakeEvent struct {
+	at    clock.Time
+	order uint64
+	run   func()
+}
+
+type fakeQueue []fakeEvent
+
+func (q fakeQueue) Len() int { return len(q) }
+func (q fakeQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q fakeQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *fakeQueue) Push(x any)   { *q = append(*q, x.(fakeEvent)) }
+func (q *fakeQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func fakeMember(i int) topology.Member {
+	region := i % 2
+	return topology.Member{
+		Ref:     topology.InstanceRef{ID: topology.InstanceID(fmt.Sprintf("tier-%04d", i)), Incarnation: topology.NewIncarnation(1750000000000+int64(i), uint64(i))},
+		Address: fmt.Sprintf("10.20.%d.%d:7001", i/250, i%250),
+		Zone:    topology.ZoneID(fmt.Sprintf("region-%d-%c", region, 'a'+i/2%zonesEach)),
+		Region:  topology.RegionID(fmt.Sprintf("region-%d", region)), State: topology.MemberLive,
+	}
+}
+
+// fakeState is a configuration with the given services of 2 servers each, in
+// collections of 750 services, the partition map of each with 1 snapshot.
+func fakeState(services int) *ticket.State {
+	t := ticket.Ticket{Number: 1, FilingID: "f", Operator: "o", At: 1}
+	add := func(kind ticket.Kind, id string, v ticket.Value) {
+		t.Changes = append(t.Changes, ticket.Change{Scope: ticket.Scope{Kind: kind, ID: id}, Value: v})
+	}
+	for z := range 2 * zonesEach {
+		m := fakeMember(z)
+		add(ticket.KindZone, string(m.Zone), ticket.Zone{Region: m.Region, State: ticket.ZoneIn})
+	}
+	var ids []topology.CollectionID
+	for from := 0; from < services; from += 750 {
+		c := topology.Collection{ID: topology.CollectionID(fmt.Sprintf("col%d", from/750))}
+		s := topology.Snapshot{ID: "s1", Shards: map[topology.ServiceID][]topology.ShardID{}}
+		for i := from; i < min(from+750, services); i++ {
+			c.Services = append(c.Services, fakeService(i))
+			s.Shards[fakeService(i).ID] = []topology.ShardID{topology.ShardID(fmt.Sprintf("sh-%04d", i))}
+		}
+		add(ticket.KindCollection, string(c.ID), ticket.Collection{Collection: c})
+		add(ticket.KindSnapshot, string(c.ID), ticket.Snapshots{s})
+		ids = append(ids, c.ID)
+	}
+	add(ticket.KindTenant, "acme", ticket.Tenant{Weight: 1, Collections: ids})
+	l := ticket.NewLog()
+	if err := l.Apply(t); err != nil {
+		panic(err)
+	}
+	return l.State()
+}
+
+func fakeService(i int) topology.Service {
+	s := topology.Service{ID: topology.ServiceID(fmt.Sprintf("dockdesk-%04d", i)), Region: fakeMember(i).Region}
+	for j := range 2 {
+		s.Targets = append(s.Targets, topology.Target{
+			ID: topology.TargetID(fmt.Sprintf("t%04d-%d", i, j)), Address: fmt.Sprintf("10.%d.%d.%d:8080", 30+j, i/250, i%250),
+			Zone: fakeMember(i + 2*j).Zone, Slots: 2, Connections: 55,
+		})
+	}
+	return s
+}
+
+// fakeTable gives each share to the instance with the fewest holdings in a zone
+// of the service's servers, as the planner does, so that nothing needs to move.
+func fakeTable(s fleetSize) map[topology.ServiceID]holding.Entry {
+	zones := map[topology.ZoneID][]topology.InstanceRef{}
+	for m := range s.instances {
+		member := fakeMember(m)
+		zones[member.Zone] = append(zones[member.Zone], member.Ref)
+	}
+	load := map[topology.InstanceRef]int{}
+	table := map[topology.ServiceID]holding.Entry{}
+	for i := range s.services {
+		conf := fakeService(i)
+		e := holding.Entry{Epoch: 1, Since: [2]uint64{1, 1}}
+		for j, t := range conf.Targets {
+			e.Holders[j] = slices.MinFunc(zones[t.Zone], func(a, b topology.InstanceRef) int {
+				return cmp.Or(cmp.Compare(load[a], load[b]),
+					cmp.Compare(topology.Hash64(string(conf.ID), string(a.ID)), topology.Hash64(string(conf.ID), string(b.ID))))
+			})
+			load[e.Holders[j]]++
+		}
+		table[conf.ID] = e
+	}
+	return table
+}
+
+func fakeBuckets(s fleetSize) map[string]holding.Bucket {
+	buckets := map[string]holding.Bucket{}
+	for r := range 2 {
+		for n := range defaultBuckets {
+			key := fmt.Sprintf("holdings/region-%d.%d", r, n)
+			buckets[key] = holding.Bucket{Key: key, Version: int64(1 + r*defaultBuckets + n), Entries: map[topology.ServiceID]holding.Entry{}}
+		}
+	}
+	table := fakeTable(s)
+	for i := range s.services {
+		conf := fakeService(i)
+		buckets[holding.BucketKey(conf.Region, conf.ID, defaultBuckets)].Entries[conf.ID] = table[conf.ID]
+	}
+	return buckets
+}
+
+// newFakeFleet returns a fleet whose members, configuration and holder table
+// are known everywhere. Only the first running nodes are simulated; frames to
+// the others are counted and dropped.
+func newFakeFleet(s fleetSize, running int) *fakeFleet {
+	f := &fakeFleet{
+		now: simStart, byRef: map[topology.InstanceRef]*fakeNode{}, objects: map[string]message.StoredObject{},
+		sent: map[string]int{}, frames: map[string]int{}, revision: 1000, whole: running == s.instances,
+	}
+	var members []topology.Member
+	for i := range s.instances {
+		members = append(members, fakeMember(i))
+	}
+	state, buckets := fakeState(s.services), fakeBuckets(s)
+	for key, b := range buckets {
+		value, _ := json.Marshal(map[string]any{"entries": b.Entries})
+		f.objects[key] = message.StoredObject{Key: key, Version: b.Version, Value: value}
+	}
+	for i := range running {
+		n := &fakeNode{Node: New(1, members[i], WithSeed(uint64(i))), since: f.revision}
+		n.Handle(1, MembersListed{Members: members})
+		n.boot.done, n.boot.since = true, f.revision
+		n.log.Restore(state)
+		n.Handle(2, Tick{})
+		n.configChanged(simStart)
+		n.adoptTable(f.objects, buckets)
+		f.nodes = append(f.nodes, n)
+		f.byRef[members[i].Ref] = n
+		f.at(simStart.Add(TickPeriod*clock.Duration(i)/clock.Duration(running)), func() { f.tick(n) })
+		f.at(simStart.Add(30*clock.Second*clock.Duration(i)/clock.Duration(running)), func() { f.list(n) })
+		f.poll(n, clock.Duration(i)%clock.Second)
+	}
+	return f
+}
+
+func (n *fakeNode) adoptTable(objects map[string]message.StoredObject, buckets map[string]holding.Bucket) {
+	for key, b := range buckets {
+		n.spread.buckets[key] = objects[key]
+		n.holder.ApplyBucket(simStart, b)
+		for id := range b.Entries {
+			n.heldChanged(simStart, id)
+		}
+	}
+	n.spread.tableHash = n.hashTable()
+	n.out, n.spread.announceAt = nil, 0
+}
+
+func (f *fakeFleet) at(t clock.Time, run func()) {
+	f.order++
+	heap.Push(&f.queue, fakeEvent{max(t, f.now), f.order, run})
+}
+
+func (f *fakeFleet) after(d clock.Duration, run func()) { f.at(f.now.Add(d), run) }
+
+// run lets time pass until done reports true, at most d.
+func (f *fakeFleet) run(d clock.Duration, done func() bool) clock.Duration {
+	start := f.now
+	for len(f.queue) > 0 && f.queue[0].at <= start.Add(d) && !done() {
+		e := heap.Pop(&f.queue).(fakeEvent)
+		f.now = e.at
+		e.run()
+	}
+	return f.now.Sub(start)
+}
+
+func never() bool { return false }
+
+func (f *fakeFleet) tick(n *fakeNode) {
+	if !n.dead {
+		f.handle(n, Tick{UnixMS: int64(f.now)})
+		f.after(TickPeriod, func() { f.tick(n) })
+	}
+}
+
+// list reads the instance list as package instance does.
+func (f *fakeFleet) list(n *fakeNode) {
+	if n.dead {
+		return
+	}
+	f.reads++
+	var live []topology.Member
+	for _, m := range f.nodes {
+		if !m.dead {
+			live = append(live, m.self)
+		}
+	}
+	if f.whole {
+		f.handle(n, MembersListed{Members: live})
+	}
+	period := 30 * clock.Second
+	if n.watching {
+		period = clock.Second
+	}
+	f.after(period, func() { f.list(n) })
+}
+
+// poll is the watch of a watcher: a call that waits up to 1 s.
+func (f *fakeFleet) poll(n *fakeNode, in clock.Duration) {
+	f.after(in, func() {
+		if n.dead {
+			return
+		}
+		if n.watching {
+			f.deliver(n)
+		}
+		f.poll(n, clock.Second)
+	})
+}
+
+func (f *fakeFleet) deliver(n *fakeNode) {
+	if n.dead || !n.watching {
+		return
+	}
+	f.reads++
+	e := ObjectsWatched{Revision: f.revision}
+	for _, o := range f.objects {
+		if o.Version > n.since && (strings.HasPrefix(o.Key, ticketsPrefix) || strings.HasPrefix(o.Key, holdingsPrefix)) {
+			e.Objects = append(e.Objects, o)
+		}
+	}
+	n.since = f.revision
+	f.handle(n, e)
+}
+
+func (f *fakeFleet) handle(n *fakeNode, e Event) {
+	if n.dead {
+		return
+	}
+	start := time.Now()
+	commands := n.Handle(f.now, e)
+	f.busy += time.Since(start)
+	for _, c := range commands {
+		f.execute(n, c)
+	}
+}
+
+func (f *fakeFleet) execute(n *fakeNode, c Command) {
+	switch c := c.(type) {
+	case SendPeer:
+		f.send(n, c)
+	case ReadObject:
+		f.reads++
+		f.after(storeDelay, func() {
+			o := f.objects[string(c.Key)]
+			f.handle(n, ObjectRead{Op: c.Op, Result: object.ReadResult{Key: c.Key, Known: true, Version: object.Version(o.Version), Value: o.Value}})
+		})
+	case WriteObject:
+		f.writes++
+		f.after(storeDelay, func() { f.put(n, c) })
+	}
+}
+
+func (f *fakeFleet) put(n *fakeNode, c WriteObject) {
+	result := object.WriteResult{Key: c.Key, Status: object.Conflict}
+	if f.objects[string(c.Key)].Version == int64(c.Expect) {
+		f.revision++
+		f.objects[string(c.Key)] = message.StoredObject{Key: string(c.Key), Version: f.revision, Value: c.Value}
+		result.Status, result.Version = object.Written, object.Version(f.revision)
+		for _, w := range f.nodes {
+			if w.watching {
+				f.after(storeDelay, func() { f.deliver(w) })
+			}
+		}
+	}
+	f.handle(n, ObjectWritten{Op: c.Op, Result: result})
+}
+
+func (f *fakeFleet) send(n *fakeNode, c SendPeer) {
+	header := n.Header(f.now)
+	size := frameSize(header, c.Body)
+	name := reflect.TypeOf(c.Body).Name()
+	f.sent[name] += size
+	f.frames[name]++
+	n.sent += size
+	to := f.byRef[c.To.Ref]
+	if to == nil {
+		return
+	}
+	if to.dead {
+		f.after(2*peerDelay, func() { f.handle(n, PeerLost{Ref: c.To.Ref, Terminated: true}) })
+		return
+	}
+	to.got += size
+	f.after(peerDelay, func() {
+		f.handle(to, PeerReceived{From: n.self.Ref, Header: header, Bodies: []message.Body{c.Body}})
+	})
+}
+
+func frameSize(h message.Header, b message.Body) int {
+	if t, ok := b.(message.TableBuckets); ok && len(t.Buckets) > 0 {
+		size := 40 // header and keys; encoding the values again each time would dominate the run
+		for _, o := range t.Buckets {
+			size += len(o.Key) + len(o.Value) + 16
+		}
+		return size
+	}
+	data, err := peer.Encode(peer.Frame{Header: h, Bodies: []message.Body{b}})
+	if err != nil {
+		panic(err)
+	}
+	return len(data)
+}
+
+// reset starts counting anew.
+func (f *fakeFleet) reset() {
+	clear(f.sent)
+	clear(f.frames)
+	f.reads, f.writes, f.busy = 0, 0, 0
+	for _, n := range f.nodes {
+		n.sent, n.got = 0, 0
+	}
+}
+
+func total(counts map[string]int) float64 {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return float64(sum)
+}
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -1,6 +1,7 @@
 package ticket_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -188,14 +189,21 @@
 	}
 }
 
-// BenchmarkApply applies a tuning ticket to a state of the design size: 3,900
-// targets in 1,500 services, with 3 snapshots.
+// BenchmarkApply applies a tuning ticket to states of up to the design size:
+// 3,900 targets in 1,500 services, with 3 snapshots. It reports the size of the
+// checkpoint, and of tickets that set the collection and its snapshots.
 func BenchmarkApply(b *testing.B) {
+	for _, services := range []int{150, 500, 1500} {
+		b.Run(fmt.Sprintf("servers=%d", 3900*services/1500), func(b *testing.B) { benchmarkApply(b, services) })
+	}
+}
+
+func benchmarkApply(b *testing.B, services int) {
 	l := baseLog(b)
 	c := ticket.Collection{Collection: topology.Collection{ID: "big"}}
 	shards := map[topology.ServiceID][]topology.ShardID{}
 	n := 0
-	for i := range 1500 {
+	for i := range services {
 		s := topology.Service{ID: topology.ServiceID(fmt.Sprintf("svc-%04d", i)), Region: "ga-central"}
 		for n*1500 < 3900*(i+1) {
 			address := fmt.Sprintf("10.0.%d.%d:80", n/250, n%250)
@@ -223,4 +231,11 @@
 		}
 	}
 	b.ReportMetric(float64(len(data)), "checkpoint-B")
+	for i, name := range []string{"collection-ticket-B", "snapshot-ticket-B"} {
+		encoded, err := json.Marshal(ticket.Ticket{Number: 2, FilingID: "f", Operator: "o", Changes: big[i : i+1]})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(encoded)), name)
+	}
 }
--- /dev/null
+++ b/io/target/bench_test.go
@@ -0,0 +1,49 @@
+package target
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// BenchmarkCallBody measures the JSON of a call and of its answer, with 10 hits
+// for each item, for batches of 1, 8 and 32 items. Sockets are left out.
+func BenchmarkCallBody(b *testing.B) {
+	for _, n := range []int{1, 8, 32} {
+		b.Run(fmt.Sprintf("batch=%d", n), func(b *testing.B) {
+			call := callJSON{Snapshot: "dockdesk@12"}
+			answer := Answer{State: message.TargetWarm, Bears: 2}
+			for i := range n {
+				item := Item{ID: fmt.Sprint(100000 + i), Tenant: "harbor-ops", Shards: []topology.ShardID{"dockdesk/007"}, Query: "amber barrel cedar", Limit: 10}
+				call.Items = append(call.Items, item)
+				got := message.ShardAnswer{Shard: item.Shards[0]}
+				for k := range 10 {
+					got.Hits = append(got.Hits, message.Hit{ID: fmt.Sprintf("dockdesk/007-%03d", k), Score: 0.75, Text: "amber barrel cedar delta"})
+				}
+				answer.Items = append(answer.Items, ItemAnswer{ID: item.ID, Tenant: item.Tenant, Snapshot: call.Snapshot, Status: message.StatusOK, Shards: []message.ShardAnswer{got}})
+			}
+			data, err := json.Marshal(answer)
+			if err != nil {
+				b.Fatal(err)
+			}
+			sent := 0
+			for b.Loop() {
+				body, err := json.Marshal(call)
+				if err != nil {
+					b.Fatal(err)
+				}
+				sent = len(body)
+				if _, err := parseAnswer(http.StatusOK, data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/item")
+			b.ReportMetric(float64(sent)/float64(n), "call-B/item")
+			b.ReportMetric(float64(len(data))/float64(n), "answer-B/item")
+		})
+	}
+}
