--- a/core/quarantine/keeper.go
+++ b/core/quarantine/keeper.go
@@ -15,8 +15,6 @@
 	// ackTimeout is how long an acknowledgement is awaited before it is asked
 	// for again.
 	ackTimeout = 100 * clock.Millisecond
-	// maxNotices is how often it is asked for before those that wait are refused.
-	maxNotices = 3
 	// maxCanary is the longest time that a canary may run.
 	maxCanary = 2 * clock.Second
 	// doneGrace is how long the result of a canary is awaited after its
