Close all connections to a peer when one of them is silent

Cause: two instances usually have a connection in each direction. When both went silent, the second was found out only after the first, in another 1,500 ms. Change: when one is abandoned, all to that peer are closed.

--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -185,6 +185,16 @@
 	}
 }
 
+// abandon closes all links to a peer. Whatever silenced one of them may have
+// silenced the others, and finding that out one by one took as long again.
+func (h *Hub) abandon(ref topology.InstanceRef) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.links[ref] {
+		l.cancel()
+	}
+}
+
 // remove drops l and reports whether no link to its peer is left.
 func (h *Hub) remove(l *link) bool {
 	h.mu.Lock()
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -145,7 +145,7 @@
 				continue
 			}
 			if !l.probe(silentAfter - probeAfter) {
-				l.cancel()
+				l.hub.abandon(l.peer.Ref)
 				return
 			}
 		}
