--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -56,11 +56,10 @@
 const (
 	tokenUnit   = 1000 // budget units for one extra sub-request
 	tokenEarned = 35   // budget units earned by each first attempt
-	tokenCap    = 10 * tokenUnit
-	// tokenFloor is what the budget recovers to with time alone, at tokenPerMS.
-	// Where there is little traffic, nothing else would pay for the failover of
-	// the searches that a lost instance held.
-	tokenFloor = 2 * tokenUnit
+	// tokenCap is also what the budget recovers to with time alone, at
+	// tokenPerMS. Where there is little traffic, nothing else would pay for the
+	// failover of the searches that a lost instance held.
+	tokenCap   = 10 * tokenUnit
 	tokenPerMS = 0.25 // units: one token in 4 s
 )
 
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -116,7 +116,7 @@
 
 // New returns a Service without work, with all targets unknown.
 func New(service topology.Service, right Right, opts ...Option) *Service {
-	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenFloor), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}}
+	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenCap), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}}
 	for _, opt := range opts {
 		opt(s)
 	}
