--- a/core/holding/holder.go
+++ b/core/holding/holder.go
@@ -116,7 +116,10 @@
 	h.continueAsked = 0
 }
 
-// SetServices replaces the services of the configuration in force.
+// SetServices replaces the services of the configuration in force. Their targets
+// are kept and must not change afterwards. Entries of services that are not
+// listed stay in the table, because another instance may be ahead in the
+// configuration and an epoch must never start again.
 func (h *Holder) SetServices(now clock.Time, services []topology.Service) []Command {
 	h.enter(now)
 	h.services = h.services[:0]
@@ -177,7 +180,7 @@
 }
 
 // ApplyBucket adopts a bucket from the store or a peer. Older versions are
-// ignored.
+// ignored. The bucket is kept and must not change afterwards.
 func (h *Holder) ApplyBucket(now clock.Time, b Bucket) []Command {
 	h.enter(now)
 	return h.apply(now, b)
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -131,7 +131,8 @@
 	return []Command{ReadObject{ID: h.lastRead, Key: key}}
 }
 
-// ReadDone tells the outcome of a ReadObject.
+// ReadDone tells the outcome of a ReadObject. The bucket is kept and must not
+// change afterwards.
 func (h *Holder) ReadDone(now clock.Time, r ReadResult) []Command {
 	h.enter(now)
 	rd, ok := h.reads[r.ID]
