Keep what waits behind a cancelled call

Cause: a cancelled call held its slot until its deadline as far as the queue could tell, although the target ends it within a round trip. When a search was answered by the other holder and its own call cancelled, a search waiting behind it was refused as noTarget; with the token for a second attempt spent, its shards were missing from the answer. Change: the slot of a cancelled call counts as opening 50 ms after the cancellation, and at its deadline once that has passed without an end.

--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -9,6 +9,10 @@
 	"knapweedstall/core/message"
 )
 
+// cancelTerm is how long the end of a cancelled call is expected to take: a round
+// trip, and some processing at a busy target.
+const cancelTerm = 50 * clock.Millisecond
+
 // call is one call to a target whose end is not known. It holds a slot.
 type call struct {
 	id         CallID
@@ -20,6 +24,7 @@
 	deadline   clock.Time
 	hedgeAt    clock.Time // 0 when it is not to be hedged, or was
 	over       bool       // only its end is awaited
+	endsBy     clock.Time // when its cancellation should have ended it; 0 when nothing will end it before its deadline
 	broken     bool       // its connection is known to be lost
 }
 
@@ -32,6 +37,14 @@
 	}
 }
 
+// ends returns when the slot of a call that is over is expected to be free.
+func (c *call) ends(now clock.Time) clock.Time {
+	if now < c.endsBy {
+		return min(c.endsBy, c.deadline)
+	}
+	return c.deadline
+}
+
 // send starts a call for the sub-requests.
 func (s *Service) send(now clock.Time, t *target, share int, subs []*sub, hedge bool) {
 	s.lastCall++
@@ -173,6 +186,7 @@
 		return s.pump(now)
 	}
 	settled := c.over
+	c.endsBy = 0
 	switch {
 	case f == FailureNotSent || f == FailureEnded:
 		s.release(c)
@@ -254,6 +268,7 @@
 			continue
 		}
 		s.await(c)
+		c.endsBy = now.Add(cancelTerm)
 		s.emit(CancelCall{c.id})
 		// A cancelled call would have taken at least this long. Without it a slow
 		// target whose calls lose to hedges would look fast.
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -53,6 +53,8 @@
 	r.do(r.s.Answered(r.now, call, a))
 }
 
+func (r *rig) cancel(id uint64) { r.do(r.s.CancelSub(r.now, search(id).ID)) }
+
 func (r *rig) fail(call dispatch.CallID, f dispatch.Failure) { r.do(r.s.Failed(r.now, call, f)) }
 
 // earn completes 50 searches of 10 ms, which earns 2 tokens.
@@ -102,6 +104,15 @@
 			r.submit(3, search) // the cancelled call still holds its slot
 			r.fail(51, dispatch.FailureEnded)
 		}, "51>t0 52>t1 1=ok -51 53>t1 54>t0"},
+		{"queue behind cancelled calls", true, func(r *rig) {
+			r.submit(1, search)
+			r.submit(2, search)
+			r.submit(3, search) // waits for the end of a cancelled call, not for its deadline
+			r.cancel(1)
+			r.cancel(2)
+			r.now += 5
+			r.fail(51, dispatch.FailureEnded)
+		}, "51>t0 52>t1 1=failed/deadline -51 2=failed/deadline -52 53>t0"},
 		{"snapshot gone", false, func(r *rig) { r.submit(1, search); r.answer(1, item("studio", dispatch.ItemSnapshotGone)) }, "1>t0 1=snapshotGone/snapshotGone"},
 		{"item not run", false, func(r *rig) { r.submit(1, search); r.answer(1, item("studio", dispatch.ItemNotRun)) }, "1>t0 1=notRun/shed"},
 		{"answer for another tenant", false, func(r *rig) { r.submit(1, search); r.answer(1, item("rival", dispatch.ItemOK)) }, "1>t0 1=failed/noTarget"},
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -111,7 +111,7 @@
 	}
 	for _, call := range s.calls {
 		if call.over && call.target.slots(now, call.share, use) > 0 {
-			c.openAt(call.deadline)
+			c.openAt(call.ends(now))
 		}
 	}
 	if out == len(s.targets) {
