Take a block of ports for each run of the e2e tests

Cause: two runs at the same time chose the same ports; a stand-in then found its port in use. Change: a run claims a block by listening on its first port.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -83,27 +83,47 @@
 
 // The ports of the processes lie below the range that the system takes for
 // outgoing connections and for port 0, so that none is taken between its choice
-// and its use, also while a member is replaced.
+// and its use, also while a member is replaced. Each run of the tests takes one
+// block and listens on the first port of it, which keeps other runs out.
 const (
 	firstPort = 10000
-	lastPort  = 30000
+	blockSize = 2000
+	blocks    = 10
 )
 
-var nextPort atomic.Int64
+var (
+	blockLock net.Listener // open until the process ends
+	takeBlock = sync.OnceValue(func() int {
+		for i := range blocks {
+			block := firstPort + i*blockSize
+			if l, err := listen(block); err == nil {
+				blockLock = l
+				return block
+			}
+		}
+		return 0
+	})
+	lastPort atomic.Int64 // offset in the block
+)
 
-func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+func listen(port int) (net.Listener, error) {
+	return net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+}
 
 // freePorts returns n loopback addresses that are free. None is returned twice
-// before the range is used up.
+// before the block is used up.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
+	block := takeBlock()
+	if block == 0 {
+		t.Fatal("all blocks of ports are in use")
+	}
 	var out []string
 	for tries := 0; len(out) < n; tries++ {
-		if tries == lastPort-firstPort {
+		if tries == blockSize {
 			t.Fatal("no free port")
 		}
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10)))
+		l, err := listen(block + 1 + int(lastPort.Add(1)%(blockSize-1)))
 		if err != nil {
 			continue
 		}
