--- a/core/quarantine/notice.go
+++ b/core/quarantine/notice.go
@@ -23,7 +23,8 @@
 }
 
 // notify asks the highest other instance by hash to record the charge, and asks
-// again until it does. No other instance can stand in for one that is believed
+// again until it does or too little time is left: a silent connection is replaced
+// within that time, and giving up earlier refused requests that had time left. No other instance can stand in for one that is believed
 // live: that one may be running a canary itself, and may only be slow to say so.
 // An instance that knows no other one runs without a backup.
 func (k *Keeper) notify(now clock.Time, fp message.Fingerprint, l *line) []Command {
@@ -33,7 +34,7 @@
 		return k.start(now, fp, l) // announces again
 	case !exists && k.aloneMayRun(now, fp, l.seq):
 		return k.start(now, fp, l)
-	case !exists || l.tries >= maxNotices:
+	case !exists || l.tries > 0 && now.Add(ackTimeout) >= l.current.deadline:
 		out := k.withdraw(fp, l)
 		l.queue = append([]waiting{l.current}, l.queue...)
 		refusal := message.CanaryVerdict{Verdict: message.VerdictNotRun, Reason: message.ReasonNoBackup, RetryAfterMS: ackTimeout}
