--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -53,6 +53,8 @@
 	r.do(r.s.Answered(r.now, call, a))
 }
 
+func (r *rig) cancel(id uint64) { r.do(r.s.CancelSub(r.now, search(id).ID)) }
+
 func (r *rig) fail(call dispatch.CallID, f dispatch.Failure) { r.do(r.s.Failed(r.now, call, f)) }
 
 // earn completes 50 searches of 10 ms, which earns 2 tokens.
@@ -67,10 +69,10 @@
 
 // Guards against single decisions that differ from the design.
 func TestDecisions(t *testing.T) {
-	const search, canary, run = message.KindSearch, message.KindCanary, message.KindRun
+	const search, canary, run, lost = message.KindSearch, message.KindCanary, message.KindRun, dispatch.FailureLost
 	shed := func(a *dispatch.Answer) { a.Status, a.Items = dispatch.AnswerShed, nil }
-	item := func(f func(*dispatch.ItemAnswer)) func(*dispatch.Answer) {
-		return func(a *dispatch.Answer) { f(&a.Items[0]) }
+	item := func(tenant topology.TenantID, status dispatch.ItemStatus) func(*dispatch.Answer) {
+		return func(a *dispatch.Answer) { a.Items[0].Tenant, a.Items[0].Status = tenant, status }
 	}
 	rank := func(rank uint64) func(*message.SubRequest) {
 		return func(s *message.SubRequest) { s.Rank, s.RemainingMS = rank, 33 }
@@ -82,20 +84,16 @@
 		steps  func(r *rig)
 		want   string
 	}{
-		{"lost search without a token", false, func(r *rig) { r.submit(1, search); r.fail(1, dispatch.FailureLost) }, "1>t0 1=crashed/crashed"},
-		{"lost search", true, func(r *rig) { r.submit(1, search); r.fail(51, dispatch.FailureLost); r.answer(52) }, "51>t0 52>t1 1=ok"},
-		{"search lost twice", true, func(r *rig) {
-			r.submit(1, search)
-			r.fail(51, dispatch.FailureLost)
-			r.fail(52, dispatch.FailureLost)
-		}, "51>t0 52>t1 1=crashed/crashed"},
-		{"lost run", true, func(r *rig) { r.submit(1, run); r.fail(51, dispatch.FailureLost) }, "51>t0 1=crashed/crashed"},
+		{"lost search without a token", false, func(r *rig) { r.submit(1, search); r.fail(1, lost) }, "1>t0 1=crashed/crashed"},
+		{"lost search", true, func(r *rig) { r.submit(1, search); r.fail(51, lost); r.answer(52) }, "51>t0 52>t1 1=ok"},
+		{"search lost twice", true, func(r *rig) { r.submit(1, search); r.fail(51, lost); r.fail(52, lost) }, "51>t0 52>t1 1=crashed/crashed"},
+		{"lost run", true, func(r *rig) { r.submit(1, run); r.fail(51, lost) }, "51>t0 1=crashed/crashed"},
 		{"run not sent", false, func(r *rig) { r.submit(1, run); r.fail(1, dispatch.FailureNotSent); r.answer(2) }, "1>t0 2>t1 1=ok"},
 		{"shed run", true, func(r *rig) { r.submit(1, run); r.answer(51, shed); r.answer(52) }, "51>t0 52>t1 1=ok"},
 		{"shed run without a token", false, func(r *rig) { r.submit(1, run); r.answer(1, shed) }, "1>t0 1=notRun/shed"},
 		{"repeated run", false, func(r *rig) { r.submit(1, run); r.answer(1); r.submit(1, run) }, "1>t0 1=ok"},
 		{"shed canary", true, func(r *rig) { r.submit(1, canary); r.answer(51, shed) }, "51>t0 1=notRun/shed"},
-		{"lost canary", true, func(r *rig) { r.submit(1, canary); r.fail(51, dispatch.FailureLost) }, "51>t0 1=crashed/crashed"},
+		{"lost canary", true, func(r *rig) { r.submit(1, canary); r.fail(51, lost) }, "51>t0 1=crashed/crashed"},
 		{"overdue canary", true, func(r *rig) { r.submit(1, canary); r.now += 11; r.do(r.s.Tick(r.now)) }, "51>t0"},
 		{"overdue search", true, func(r *rig) {
 			r.submit(1, search)
@@ -106,18 +104,18 @@
 			r.submit(3, search) // the cancelled call still holds its slot
 			r.fail(51, dispatch.FailureEnded)
 		}, "51>t0 52>t1 1=ok -51 53>t1 54>t0"},
-		{"snapshot gone", false, func(r *rig) {
-			r.submit(1, search)
-			r.answer(1, item(func(i *dispatch.ItemAnswer) { i.Status = dispatch.ItemSnapshotGone }))
-		}, "1>t0 1=snapshotGone/snapshotGone"},
-		{"item not run", false, func(r *rig) {
-			r.submit(1, search)
-			r.answer(1, item(func(i *dispatch.ItemAnswer) { i.Status = dispatch.ItemNotRun }))
-		}, "1>t0 1=notRun/shed"},
-		{"answer for another tenant", false, func(r *rig) {
+		{"queue behind cancelled calls", true, func(r *rig) {
 			r.submit(1, search)
-			r.answer(1, item(func(i *dispatch.ItemAnswer) { i.Tenant = "rival" }))
-		}, "1>t0 1=failed/noTarget"},
+			r.submit(2, search)
+			r.submit(3, search) // waits for the end of a cancelled call, not for its deadline
+			r.cancel(1)
+			r.cancel(2)
+			r.now += 5
+			r.fail(51, dispatch.FailureEnded)
+		}, "51>t0 52>t1 1=failed/deadline -51 2=failed/deadline -52 53>t0"},
+		{"snapshot gone", false, func(r *rig) { r.submit(1, search); r.answer(1, item("studio", dispatch.ItemSnapshotGone)) }, "1>t0 1=snapshotGone/snapshotGone"},
+		{"item not run", false, func(r *rig) { r.submit(1, search); r.answer(1, item("studio", dispatch.ItemNotRun)) }, "1>t0 1=notRun/shed"},
+		{"answer for another tenant", false, func(r *rig) { r.submit(1, search); r.answer(1, item("rival", dispatch.ItemOK)) }, "1>t0 1=failed/noTarget"},
 		{"all zones out", false, func(r *rig) { r.do(r.s.Configure(r.now, fleet(2, 1), out)); r.submit(1, search) }, "1=notRun/zoneOut"},
 		{"leaving target", false, func(r *rig) {
 			conf := fleet(2, 1)
@@ -154,11 +152,21 @@
 				r.submit(uint64(i), search, rank(n))
 			}
 		}, "51>t0 52>t1 3=notRun/shed"},
+		{"busiest tenant dropped", true, func(r *rig) {
+			rival := func(s *message.SubRequest) { s.Tenant = "rival" }
+			for i, n := range []uint64{9, 9, 1, 7, 6, 8, 5} {
+				if i == 2 {
+					r.submit(uint64(i), search, rank(n)) // the lowest rank of all
+				} else {
+					r.submit(uint64(i), search, rank(n), rival)
+				}
+			}
+		}, "51>t0 52>t1 6=notRun/shed"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := &rig{now: 1, use: dispatch.Use{Warm: [2]bool{true, true}, Cold: [2]bool{true, true}}, sends: map[dispatch.CallID]dispatch.Send{}}
-			r.s = dispatch.New(fleet(2, 1), right(func() dispatch.Use { return r.use }))
+			r.s = dispatch.New(fleet(2, 1), right(func() dispatch.Use { return r.use }), dispatch.WithoutFloor())
 			if tt.tokens {
 				r.earn()
 			}
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -54,22 +54,35 @@
 func (l *latency) most() clock.Duration { return max(l.p95, l.typical()) }
 
 const (
-	tokenUnit   = 100 // budget units for one extra sub-request
-	tokenEarned = 4   // budget units earned by each first attempt
-	tokenCap    = 10 * tokenUnit
+	tokenUnit   = 1000 // budget units for one extra sub-request
+	tokenEarned = 35   // budget units earned by each first attempt
+	// tokenCap is also what the budget recovers to with time alone, at
+	// tokenPerMS. Where there is little traffic, nothing else would pay for the
+	// failover of the searches that a lost instance held.
+	tokenCap   = 10 * tokenUnit
+	tokenPerMS = 0.25 // units: one token in 4 s
 )
 
 // budget limits hedges, retries and failovers to a part of the first attempts.
-// It starts empty.
-type budget int
+type budget struct {
+	units float64
+	floor float64    // what time alone recovers
+	at    clock.Time // of the last recovery
+}
+
+func newBudget(floor float64) budget { return budget{units: floor, floor: floor} }
 
-func (b *budget) earn() { *b = min(*b+tokenEarned, tokenCap) }
+func (b *budget) earn() { b.units = min(b.units+tokenEarned, tokenCap) }
 
 // take draws n tokens, or none if there are fewer.
-func (b *budget) take(n int) bool {
-	if *b < budget(n*tokenUnit) {
+func (b *budget) take(now clock.Time, n int) bool {
+	if b.units < b.floor {
+		b.units = min(b.units+tokenPerMS*float64(now.Sub(b.at)), b.floor)
+	}
+	b.at = now
+	if b.units < float64(n*tokenUnit) {
 		return false
 	}
-	*b -= budget(n * tokenUnit)
+	b.units -= float64(n * tokenUnit)
 	return true
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -6,6 +6,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
 )
 
 const (
@@ -98,7 +99,7 @@
 		victim := s.queue[last]
 		alone := s.waitFor(now, 0, c)
 		if now.Add(alone+s.latency.most()) <= victim.deadline {
-			victim = slices.MinFunc(s.queue[:last+1], byRank)
+			victim = leastWanted(s.queue[:last+1])
 		}
 		reason := message.ReasonShed
 		if c.slots == 0 {
@@ -109,6 +110,25 @@
 	}
 }
 
+// leastWanted returns the sub-request of the lowest rank among those of the
+// tenant that has the most in the queue, so that a tenant that asks for more than
+// its part loses its own queries first.
+func leastWanted(queue []*sub) *sub {
+	waiting := map[topology.TenantID]int{}
+	most := 0
+	for _, u := range queue {
+		waiting[u.req.Tenant]++
+		most = max(most, waiting[u.req.Tenant])
+	}
+	var victim *sub
+	for _, u := range queue {
+		if waiting[u.req.Tenant] == most && (victim == nil || byRank(u, victim) < 0) {
+			victim = u
+		}
+	}
+	return victim
+}
+
 func byRank(a, b *sub) int {
 	return cmp.Or(cmp.Compare(a.req.Rank, b.req.Rank), cmp.Compare(b.item, a.item))
 }
@@ -141,7 +161,7 @@
 			return false
 		}
 		u.proofs++
-	case u.retried || !s.budget.take(1):
+	case u.retried || !s.budget.take(now, 1):
 		return false
 	default:
 		u.retried = true
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -97,6 +97,12 @@
 	return func(s *Service) { s.maxBatch = max(1, n) }
 }
 
+// WithoutFloor leaves the retry budget to first attempts alone: it starts empty
+// and does not recover with time.
+func WithoutFloor() Option {
+	return func(s *Service) { s.budget = newBudget(0) }
+}
+
 // Tune changes how new work is batched and hedged.
 func (s *Service) Tune(maxBatch int, hedges bool) {
 	s.maxBatch = max(1, maxBatch)
@@ -110,7 +116,7 @@
 
 // New returns a Service without work, with all targets unknown.
 func New(service topology.Service, right Right, opts ...Option) *Service {
-	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}}
+	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenCap), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -130,7 +136,7 @@
 	s.lastItem++
 	u := &sub{item: s.lastItem, req: req, arrived: now, deadline: deadline}
 	s.subs[req.ID] = u
-	if req.Repeat && u.search() && !s.budget.take(1) {
+	if req.Repeat && u.search() && !s.budget.take(now, 1) {
 		s.refuse(now, u, message.ReasonShed)
 	} else {
 		s.enqueue(u)
--- a/core/node/config.go
+++ b/core/node/config.go
@@ -50,6 +50,7 @@
 		}
 		n.restore(now, r)
 		n.boot.done = true
+		n.keeper(now, n.canaries.keeper.Start(now))
 		n.emit(ListObjects{Prefixes: []string{ticketsPrefix}, Since: n.boot.since})
 		n.emit(ListObjects{Prefixes: []string{holdingsPrefix}})
 	})
@@ -203,6 +204,7 @@
 func (n *Node) configChanged(now clock.Time) {
 	state := n.log.State()
 	n.services = map[topology.ServiceID]topology.Service{}
+	n.targetAt = map[string]targetCall{}
 	var all []topology.Service
 	n.zoneOut = map[topology.ZoneID]bool{}
 	for _, scope := range state.Scopes() {
@@ -214,6 +216,9 @@
 		for _, s := range c.Services {
 			n.services[s.ID] = s
 			all = append(all, s)
+			for _, t := range s.Targets {
+				n.targetAt[t.Address] = targetCall{service: s.ID, target: t.ID}
+			}
 		}
 	}
 	n.holding(n.holder.SetServices(now, all))
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -43,10 +43,12 @@
 	routes    map[topology.ServiceID]*route
 	filings   map[CallID]*filing
 	runs      runs
+	canaries  canaries
 	unixMS    int64 // wall clock minus now, as the driver last told it
 
 	// As a holder.
 	services map[topology.ServiceID]topology.Service // in force
+	targetAt map[string]targetCall                   // by address: service and target
 	zoneOut  map[topology.ZoneID]bool
 	held     map[topology.ServiceID]*held
 	calls    map[TargetCallID]targetCall
@@ -61,11 +63,12 @@
 }
 
 type options struct {
-	seed      uint64
-	buckets   int
-	hedging   bool
-	admission bool
-	canary    bool
+	seed       uint64
+	unixOffset int64
+	buckets    int
+	hedging    bool
+	admission  bool
+	canary     bool
 }
 
 // Option changes a Node.
@@ -74,6 +77,10 @@
 // WithSeed sets the seed of all random choices.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
+// WithUnixOffset sets the wall clock in Unix ms minus now, for times that other
+// instances read.
+func WithUnixOffset(ms int64) Option { return func(o *options) { o.unixOffset = ms } }
+
 // WithBuckets sets the number of holder table buckets of each region. All
 // instances must agree on it.
 func WithBuckets(n int) Option { return func(o *options) { o.buckets = n } }
@@ -111,12 +118,14 @@
 		routes:    map[topology.ServiceID]*route{},
 		filings:   map[CallID]*filing{},
 		runs:      newRuns(),
+		canaries:  newCanaries(self.Ref, clock.Duration(o.unixOffset)),
+		unixMS:    o.unixOffset,
 		services:  map[topology.ServiceID]topology.Service{},
 		zoneOut:   map[topology.ZoneID]bool{},
 		held:      map[topology.ServiceID]*held{},
 		calls:     map[TargetCallID]targetCall{},
 	}
-	n.setup = Setup{Now: now, Self: self, Seed: o.seed, Buckets: o.buckets, Hedging: o.hedging, Admission: o.admission, Canary: o.canary}
+	n.setup = Setup{Now: now, Self: self, Seed: o.seed, Unix: o.unixOffset, Buckets: o.buckets, Hedging: o.hedging, Admission: o.admission, Canary: o.canary}
 	n.holder = holding.New(self, work{n}, holding.WithSeed(o.seed^uint64(self.Ref.Incarnation)), holding.WithBuckets(o.buckets))
 	return n
 }
@@ -169,6 +178,10 @@
 		n.targetAnswered(now, e)
 	case TargetFailed:
 		n.targetFailed(now, e)
+	case TargetConnected:
+		n.targetConnection(now, e.Address, true)
+	case TargetDisconnected:
+		n.targetConnection(now, e.Address, false)
 	case ObjectRead:
 		n.objectRead(now, e)
 	case ObjectWritten:
@@ -223,6 +236,7 @@
 	}
 	n.spread.liveHash = hash
 	n.holding(n.holder.SetMembers(now, live))
+	n.keeper(now, n.canaries.keeper.SetMembers(now, live))
 }
 
 // ended passes on that incarnations have provably ended.
--- a/core/node/oracle_test.go
+++ b/core/node/oracle_test.go
@@ -69,6 +69,7 @@
 	leftSince map[topology.TargetID]clock.Time
 	ran       map[string]int // starts of run requests
 	searched  map[string]bool
+	crashes   map[string]int // targets crashed by a request
 	complete  int            // queries answered completely
 	seen      map[string]int // what happened how often
 }
@@ -79,7 +80,7 @@
 		states: map[ticket.Number][]byte{}, usable: map[ticket.Number][]topology.Snapshot{}, at: map[ticket.Number]clock.Time{},
 		filed: map[ticket.FilingID]ticket.Number{}, refusals: map[ticket.FilingID]bool{},
 		outSince: map[topology.ZoneID]clock.Time{}, leftSince: map[topology.TargetID]clock.Time{},
-		ran: map[string]int{}, searched: map[string]bool{}, seen: map[string]int{},
+		ran: map[string]int{}, searched: map[string]bool{}, crashes: map[string]int{}, seen: map[string]int{},
 	}
 }
 
@@ -324,6 +325,20 @@
 	return len(s.Live)+len(s.Suspected) > 1
 }
 
+// crashed counts the targets that a request crashed: at most two in its
+// retention period, docs/design.md sections 1.5 and 10.
+func (o *oracle) crashed(c *call) {
+	for _, item := range c.Items {
+		if item.Query != poison {
+			continue
+		}
+		key := string(item.Tenant) + "/" + item.Query
+		if o.crashes[key]++; o.crashes[key] > 2 {
+			o.w.breaks("crashing request: %s crashes %d targets", key, o.crashes[key])
+		}
+	}
+}
+
 // allNotRun reports whether every request for the key was told "not run".
 func (o *oracle) allNotRun(key string, once bool) bool {
 	for _, r := range o.requests {
--- a/core/node/trace.go
+++ b/core/node/trace.go
@@ -17,6 +17,7 @@
 	Now       clock.Time      `json:"now"`
 	Self      topology.Member `json:"self"`
 	Seed      uint64          `json:"seed"`
+	Unix      int64           `json:"unixOffset"` // wall clock in Unix ms minus Now's clock
 	Buckets   int             `json:"buckets"`
 	Hedging   bool            `json:"hedging"`
 	Admission bool            `json:"admission"`
@@ -26,7 +27,7 @@
 // FromSetup returns a Node that behaves like the one that s describes.
 func FromSetup(s Setup) *Node {
 	return New(s.Now, s.Self, func(o *options) {
-		*o = options{seed: s.Seed, buckets: s.Buckets, hedging: s.Hedging, admission: s.Admission, canary: s.Canary}
+		*o = options{seed: s.Seed, unixOffset: s.Unix, buckets: s.Buckets, hedging: s.Hedging, admission: s.Admission, canary: s.Canary}
 	})
 }
 
@@ -102,6 +103,8 @@
 		{trace.Register[PeerLost], "peerLost"},
 		{trace.Register[TargetAnswered], "targetAnswered"},
 		{trace.Register[TargetFailed], "targetFailed"},
+		{trace.Register[TargetConnected], "targetConnected"},
+		{trace.Register[TargetDisconnected], "targetDisconnected"},
 		{trace.Register[ObjectRead], "objectRead"},
 		{trace.Register[ObjectWritten], "objectWritten"},
 		{trace.Register[ObjectsWatched], "objectsWatched"},
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -204,6 +204,7 @@
 	watching  bool
 	stopping  bool
 	calls     map[node.TargetCallID]*call
+	connected map[*fakeTarget]bool
 }
 
 func (w *world) start(slot int) {
@@ -212,9 +213,9 @@
 		w: w, slot: slot, up: true,
 		member: topology.Member{Ref: ref, Address: address(slot), Zone: zones[slot%3], Region: region, State: topology.MemberLive},
 		links:  map[topology.InstanceRef][]*end{}, dialing: map[topology.InstanceRef][]message.Body{},
-		calls: map[node.TargetCallID]*call{},
+		calls: map[node.TargetCallID]*call{}, connected: map[*fakeTarget]bool{},
 	}
-	p.node = node.New(w.now, p.member, node.WithSeed(uint64(ref.Incarnation)), node.WithBuckets(2))
+	p.node = node.New(w.now, p.member, node.WithSeed(uint64(ref.Incarnation)), node.WithBuckets(2), node.WithUnixOffset(epoch))
 	p.machine = p.node
 	if w.wrap != nil {
 		p.machine = w.wrap(p)
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -10,11 +10,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"knapweedstall/cmd"
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
 	"knapweedstall/io/caller"
 )
 
@@ -76,21 +81,54 @@
 
 func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
 
-// freePorts returns n loopback addresses that were free a moment ago.
+// The ports of the processes lie below the range that the system takes for
+// outgoing connections and for port 0, so that none is taken between its choice
+// and its use, also while a member is replaced. Each run of the tests takes one
+// block and listens on the first port of it, which keeps other runs out.
+const (
+	firstPort = 10000
+	blockSize = 2000
+	blocks    = 10
+)
+
+var (
+	blockLock net.Listener // open until the process ends
+	takeBlock = sync.OnceValue(func() int {
+		for i := range blocks {
+			block := firstPort + i*blockSize
+			if l, err := listen(block); err == nil {
+				blockLock = l
+				return block
+			}
+		}
+		return 0
+	})
+	lastPort atomic.Int64 // offset in the block
+)
+
+func listen(port int) (net.Listener, error) {
+	return net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+}
+
+// freePorts returns n loopback addresses that are free. None is returned twice
+// before the block is used up.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	var listeners []net.Listener
+	block := takeBlock()
+	if block == 0 {
+		t.Fatal("all blocks of ports are in use")
+	}
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		if tries == blockSize {
+			t.Fatal("no free port")
+		}
+		l, err := listen(block + 1 + int(lastPort.Add(1)%(blockSize-1)))
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
-	}
-	for _, l := range listeners {
 		_ = l.Close()
+		out = append(out, l.Addr().String())
 	}
 	return out
 }
@@ -99,15 +137,25 @@
 type member struct {
 	id, zone                 string
 	callers, peers, operator string
+	reach                    string // peerAddress of the settings; empty for peers
 	settings                 string
 	process                  *process
 }
 
+// signal sends a signal to the member's process.
+func (m *member) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := m.process.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // cluster is a whole deployment of separate processes.
 type cluster struct {
 	t        *testing.T
 	dir      string
-	platform string
+	platform string // address of the platform stand-in
+	store    string // address of the platform as the members know it
 	control  string // of the targets
 	ticket   []byte // the first ticket
 	members  []*member
@@ -118,8 +166,27 @@
 // collection, and n instances spread over the three zones.
 func newCluster(t *testing.T, n, services int) *cluster {
 	t.Helper()
+	c := newStandIns(t, services)
+	for range n {
+		c.run(c.addMember())
+	}
+	return c
+}
+
+// maxClusters bounds the clusters that run at the same time. Bounds in seconds
+// say nothing when the processes of many clusters wait for one another's
+// processor time.
+const maxClusters = 6
+
+var clusters = make(chan struct{}, maxClusters)
+
+// newStandIns starts the stand-ins only.
+func newStandIns(t *testing.T, services int) *cluster {
+	t.Helper()
+	clusters <- struct{}{}
+	t.Cleanup(func() { <-clusters })
 	ports := freePorts(t, 2)
-	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], control: ports[1]}
+	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], store: ports[0], control: ports[1]}
 	c.platProc = start(t, "emulate", "-listen", c.platform, "platform")
 	ticketFile := filepath.Join(c.dir, "first.json")
 	start(t, "emulate", "-listen", c.control, "-services", fmt.Sprint(services), "-ticket", ticketFile, "targets")
@@ -132,35 +199,46 @@
 		status, _, err := c.call(http.MethodGet, c.platform, "/v1/instances", "", nil)
 		return err == nil && status == http.StatusOK
 	})
-	zones := []string{"macon-yard", "warner-dock", "perry-shed"}
-	for i := range n {
-		c.members = append(c.members, c.newMember(fmt.Sprintf("peachline-%02d", i), zones[i%len(zones)]))
-	}
-	for _, m := range c.members {
-		c.run(m)
-	}
 	return c
 }
 
-func (c *cluster) newMember(id, zone string) *member {
+var zones = []string{"macon-yard", "warner-dock", "perry-shed"}
+
+// addMember adds the next member, which does not run yet.
+func (c *cluster) addMember() *member {
+	i := len(c.members)
 	ports := freePorts(c.t, 3)
-	m := &member{id: id, zone: zone, callers: ports[0], peers: ports[1], operator: ports[2]}
-	m.settings = filepath.Join(c.dir, id+".hujson")
+	m := &member{
+		id: fmt.Sprintf("peachline-%02d", i), zone: zones[i%len(zones)],
+		callers: ports[0], peers: ports[1], operator: ports[2],
+	}
+	m.settings = filepath.Join(c.dir, m.id+".hujson")
+	c.members = append(c.members, m)
+	return m
+}
+
+// writeSettings writes the settings file of m.
+func (c *cluster) writeSettings(m *member) {
+	c.t.Helper()
+	reach := m.reach
+	if reach == "" {
+		reach = m.peers
+	}
 	text := fmt.Sprintf(`{
   "instance": %q, "zone": %q, "region": "ga-central",
-  "listen": {"callers": %q, "peers": %q, "operators": %q},
+  "listen": {"callers": %q, "peers": %q, "operators": %q}, "peerAddress": %q,
   "platform": %q, "adminToken": %q, "peerToken": %q,
   "callers": [{"token": %q, "tenant": %q}, {"token": %q, "tenant": %q}],
-}`, id, zone, m.callers, m.peers, m.operator, c.platform, adminToken, peerToken, tokenA, tenantA, tokenB, tenantB)
+}`, m.id, m.zone, m.callers, m.peers, m.operator, reach, c.store, adminToken, peerToken, tokenA, tenantA, tokenB, tenantB)
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	return m
 }
 
 // run starts the process of a member.
 func (c *cluster) run(m *member) {
 	c.t.Helper()
+	c.writeSettings(m)
 	m.process = start(c.t, "serve", "-settings", m.settings)
 }
 
@@ -189,8 +267,13 @@
 
 // query searches through a member. The status is 0 when there was no reply.
 func (c *cluster) query(m *member, token, collection, text string) (int, caller.SearchAnswer, caller.Error) {
-	body, _ := json.Marshal(caller.SearchRequest{Collection: "", Query: text, DeadlineMS: 1000, Limit: 10})
-	body = bytes.Replace(body, []byte(`"collection":""`), []byte(fmt.Sprintf(`"collection":%q`, collection)), 1)
+	return c.search(m, token, caller.SearchRequest{
+		Collection: topology.CollectionID(collection), Query: text, DeadlineMS: clock.Second, Limit: 10,
+	})
+}
+
+func (c *cluster) search(m *member, token string, r caller.SearchRequest) (int, caller.SearchAnswer, caller.Error) {
+	body, _ := json.Marshal(r)
 	var a caller.SearchAnswer
 	var e caller.Error
 	status, data, err := c.call(http.MethodPost, m.callers, "/v1/query", token, body)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -88,7 +88,6 @@
 		tokens:   map[string]topology.TenantID{},
 		events:   make(chan node.Event, eventQueue),
 		requests: make(chan func(), 256),
-		targets:  target.NewClient(targetConnections, s.Timeouts.TargetDialMS),
 		platform: platform.NewClient(s.Platform, platform.WithTimeout(s.Timeouts.PlatformCallMS)),
 		metrics:  newMetrics(),
 		stopped:  make(chan struct{}),
@@ -96,6 +95,7 @@
 		waiting:  map[node.CallID]chan node.Command{},
 		calls:    map[node.TargetCallID]*targetCall{},
 	}
+	in.targets = target.NewClient(targetConnections, s.Timeouts.TargetDialMS, target.WithObserver(in.targetConnection))
 	for _, o := range opts {
 		o(in)
 	}
@@ -137,8 +137,9 @@
 		listeners[i] = listener
 	}
 	in.self.Address = peerAddress(in.settings, listeners[1])
-	opts := append([]node.Option{node.WithSeed(uint64(in.self.Ref.Incarnation))}, in.nodeOpts...)
-	in.node = node.New(in.clock.Now(), in.self, opts...)
+	now := in.clock.Now()
+	opts := []node.Option{node.WithSeed(uint64(in.self.Ref.Incarnation)), node.WithUnixOffset(in.clock.UnixMillis() - int64(now))}
+	in.node = node.New(now, in.self, append(opts, in.nodeOpts...)...)
 	if err := in.startTrace(); err != nil {
 		return err
 	}
