Keep "not run" true after a lost writer, and stop isolated holders

Cause: a run request was offered to a second writer while the first, silent one still had it; the second said notRun, and the first ran the key when it resumed. An instance that suspects all others counted as alone, so that its queue went on sending after 3 s of isolation. Change: notRun from a writer after a lost one is reported as unknown; an isolated instance may use no share.

--- a/core/node/held.go
+++ b/core/node/held.go
@@ -64,11 +64,7 @@
 // new holder that still waits for the former one must say so at once, since the
 // other holder can take the work.
 func (n *Node) mayWork(now clock.Time, id topology.ServiceID) bool {
-	if !n.holds(id) {
-		return false
-	}
-	warm, cold := n.holder.Use(now, id)
-	return warm != [2]bool{} || cold != [2]bool{}
+	return n.holds(id) && n.use(now, id) != dispatch.Use{}
 }
 
 func (n *Node) outTargets(s topology.Service) map[topology.TargetID]bool {
--- a/core/node/rights.go
+++ b/core/node/rights.go
@@ -24,7 +24,17 @@
 
 // Use implements dispatch.Right.
 func (r right) Use(now clock.Time, service topology.ServiceID) dispatch.Use {
-	warm, cold := r.n.holder.Use(now, service)
+	return r.n.use(now, service)
+}
+
+// use returns which shares of the service may be used. An isolated instance may
+// use none: package holding knows only the members that are not suspected, so it
+// cannot tell an instance that is cut off from one that is alone.
+func (n *Node) use(now clock.Time, service topology.ServiceID) dispatch.Use {
+	if n.members.Isolated(now) {
+		return dispatch.Use{}
+	}
+	warm, cold := n.holder.Use(now, service)
 	return dispatch.Use{Warm: warm, Cold: cold}
 }
 
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -151,6 +151,10 @@
 		a.Outcome = RunAnswered
 	case message.OutcomeNotRun:
 		a.Outcome = RunNotRun
+		if c.attempts > 1 {
+			// A writer that was lost may still have the request and run it.
+			a.Outcome = RunUnknown
+		}
 		a.RetryAfter = max(a.RetryAfter, runRetry)
 	default:
 		a.Outcome = RunUnknown
