Interrupt no request by a planned stop or move

Cause: a leaving instance was still asked to keep canaries and, by itself, to write claims; Stopped did not wait for its canaries and journals; and a holder refused work from the moment the table gave its share away, although it may use the share until it has acknowledged the transfer. Change: leaving instances are chosen only when there is no other, a stop waits for canaries and journals, and a holder works while its right lasts.

--- a/core/node/action_test.go
+++ b/core/node/action_test.go
@@ -149,6 +149,10 @@
 		return
 	}
 	slot := w.rnd.IntN(len(w.procs))
+	if p := w.procs[slot]; w.balanced && (!p.node.Ready(w.now) && !p.stopping || p.stopping && w.now.Sub(p.stopAt) > 2000) {
+		w.after(w.ms(1, 120), w.traffic)
+		return
+	}
 	switch w.rnd.IntN(8) {
 	case 0:
 		w.keys++
--- a/core/node/canary.go
+++ b/core/node/canary.go
@@ -65,15 +65,23 @@
 	return 0, false
 }
 
-// keeperOf names the instance that runs the fingerprint's canaries.
+// keeperOf names the instance that runs the fingerprint's canaries. One that is
+// leaving is named only when there is no other, as keepers see it too.
 func (n *Node) keeperOf(now clock.Time, f message.Fingerprint) (topology.InstanceRef, bool) {
-	var refs []topology.InstanceRef
+	var stay, leave []topology.InstanceRef
 	for _, m := range n.members.Live(now) {
-		if m.Region == n.self.Region {
-			refs = append(refs, m.Ref)
+		switch {
+		case m.Region != n.self.Region:
+		case m.State == topology.MemberLeaving, n.zoneOut[m.Zone], m.Ref == n.self.Ref && n.stopping:
+			leave = append(leave, m.Ref)
+		default:
+			stay = append(stay, m.Ref)
 		}
 	}
-	return quarantine.First(f, refs)
+	if keeper, ok := quarantine.First(f, stay); ok {
+		return keeper, true
+	}
+	return quarantine.First(f, leave)
 }
 
 // askKeeper asks the keeper to run a sub-request. It reports false when there is
--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -16,8 +16,9 @@
 )
 
 var (
-	showLog  = flag.Bool("node.log", false, "print the last events of a failing case")
-	logLines = flag.Int("node.loglines", 400, "how many events -node.log prints")
+	rollingSeeds = flag.Uint64("node.rolling", 4, "seeds of the rolling restart")
+	showLog      = flag.Bool("node.log", false, "print the last events of a failing case")
+	logLines     = flag.Int("node.loglines", 400, "how many events -node.log prints")
 )
 
 // TestMain fixes the seed. Longer runs: go test -rapid.checks=5000 -rapid.seed=7.
@@ -111,6 +112,33 @@
 	}
 }
 
+// Guards against a planned stop that interrupts requests: each instance is
+// stopped and replaced in turn, with nothing else going wrong.
+func TestRollingRestartInterruptsNothing(t *testing.T) {
+	for seed := range uint64(*rollingSeeds) {
+		w := newWorld(seed, 4, nil)
+		w.balanced = true
+		w.traffic()
+		w.run(2000)
+		for i := range w.procs {
+			w.proc(i).stop()
+			for n := 0; w.broken == "" && w.proc(i).up && n < 30; n++ {
+				w.run(1000)
+			}
+			w.revive(i)
+			w.run(6000)
+		}
+		if w.broken != "" {
+			t.Errorf("seed %d: %s", seed, w.broken)
+		}
+		for what, n := range w.oracle.seen {
+			if strings.HasPrefix(what, "missing") || strings.HasPrefix(what, "refused") || what == "run unknown" || what == "run notRun" || what == "query not run" {
+				t.Errorf("seed %d: %d times %s", seed, n, what)
+			}
+		}
+	}
+}
+
 // Guards against a stop that is called complete while a filing still reads the
 // tickets ahead of it.
 func TestStoppedWaitsForFilings(t *testing.T) {
--- a/core/node/held.go
+++ b/core/node/held.go
@@ -37,7 +37,7 @@
 		n.tune(h)
 		n.held[id] = h
 		n.dispatch(h, h.service.Configure(now, conf, n.outTargets(conf)))
-	case h != nil && !n.holds(id) && h.idle():
+	case h != nil && !n.holds(id) && !n.mayWork(now, id) && h.idle():
 		delete(n.held, id)
 		n.alarms.forget(h.service)
 	}
@@ -64,7 +64,7 @@
 // new holder that still waits for the former one must say so at once, since the
 // other holder can take the work.
 func (n *Node) mayWork(now clock.Time, id topology.ServiceID) bool {
-	return n.holds(id) && n.use(now, id) != dispatch.Use{}
+	return n.use(now, id) != dispatch.Use{}
 }
 
 func (n *Node) outTargets(s topology.Service) map[topology.TargetID]bool {
--- a/core/node/oracle_test.go
+++ b/core/node/oracle_test.go
@@ -463,6 +463,7 @@
 		return
 	}
 	o.seen["run "+string(c.Outcome)]++
+	o.w.logf("OUTCOME %s %s %s", r.key(), c.Outcome, p)
 	switch c.Outcome {
 	case node.RunNotRun:
 		o.notRun(r)
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -108,7 +108,8 @@
 func (n *Node) claimWriter(now clock.Time, partition uint32, avoid topology.InstanceRef) (topology.Member, bool) {
 	var candidates []topology.Member
 	for _, m := range n.members.Live(now) {
-		if m.Ref != avoid && m.State == topology.MemberLive && m.Region == n.self.Region {
+		leaving := m.State != topology.MemberLive || m.Ref == n.self.Ref && n.stopping
+		if m.Ref != avoid && !leaving && m.Region == n.self.Region {
 			candidates = append(candidates, m)
 		}
 	}
--- a/core/node/stop.go
+++ b/core/node/stop.go
@@ -32,12 +32,7 @@
 	if !n.stopping || n.stopped || now.Sub(n.stopAt) < stopGrace {
 		return
 	}
-	busy := len(n.searches) + len(n.filings) + n.runsInProgress()
-	for _, h := range n.held {
-		if !h.idle() {
-			busy++
-		}
-	}
+	busy := n.busy()
 	if busy+n.holder.Held(now) > 0 && now.Sub(n.stopAt) < stopLimit {
 		return
 	}
@@ -45,3 +40,21 @@
 	n.logf(LevelInfo, "stopped", Attr{"unfinished", number(uint64(busy))})
 	n.emit(Stopped{})
 }
+
+// busy counts what is in progress: requests of callers and operators, and work
+// for other instances as a holder, as a keeper of canaries and as a writer of
+// claims.
+func (n *Node) busy() int {
+	busy := len(n.searches) + len(n.filings) + n.runsInProgress() + n.canaries.keeper.Pending()
+	for _, h := range n.held {
+		if !h.idle() {
+			busy++
+		}
+	}
+	for _, j := range n.runs.journals {
+		if !j.Idle() {
+			busy++
+		}
+	}
+	return busy
+}
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -67,6 +67,7 @@
 	filings  int
 	keys     int    // of run requests
 	calm     bool   // no more traffic
+	balanced bool   // traffic avoids instances that are not ready, or stopping for 2 s
 	broken   string // the first broken promise
 	lines    []string
 	wrap     func(*proc) trace.Machine[node.Event, node.Command]
--- a/core/quarantine/keeper.go
+++ b/core/quarantine/keeper.go
@@ -181,6 +181,19 @@
 	return &QuarantinedError{Fingerprint: fp, RetryAfter: clock.Duration(k.ledger.until(k.unix(now), fp) - k.unix(now))}
 }
 
+// Pending returns how many sub-requests wait for a canary or for its result. A
+// leaving instance may stop when it is zero.
+func (k *Keeper) Pending() int {
+	n := 0
+	for _, l := range k.lines {
+		n += len(l.queue)
+		if l.phase != phaseIdle {
+			n++
+		}
+	}
+	return n
+}
+
 // ask is answered by exactly one CanaryVerdict, at the latest at the first Tick
 // after the deadline unless the sub-request itself is running.
 func (k *Keeper) ask(now clock.Time, from topology.InstanceRef, sub message.SubRequest) []Command {
