Let a cut-off instance find the one peer that it reaches

Cause: an instance that hears nobody tried two random members a second, so it could miss the only one in reach for more than 5 s. Change: without any peer or the store for 1500 ms it tries 32 members a second.

--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -30,7 +30,11 @@
 	}
 	g := s.gossip(now)
 	var out []Send
-	for _, m := range s.pick(gossipFanout) {
+	fanout := gossipFanout
+	if now.Sub(max(s.heardAt, s.storeAt, s.startedAt)) >= heardTerm {
+		fanout = searchFanout
+	}
+	for _, m := range s.pick(fanout) {
 		out = append(out, Send{To: m, Body: g})
 	}
 	return out
--- a/core/membership/set.go
+++ b/core/membership/set.go
@@ -26,8 +26,11 @@
 	// storeTerm is how long a reply counts as proof that the store is reachable.
 	storeTerm = 2000 * clock.Millisecond
 
-	gossipPeriod  = 1000 * clock.Millisecond
-	gossipFanout  = 2
+	gossipPeriod = 1000 * clock.Millisecond
+	gossipFanout = 2
+	// searchFanout peers are tried in each period by an instance that hears
+	// neither a peer nor the store, since most of them may be out of reach.
+	searchFanout  = 32
 	gossipChanges = 16                // members and ended incarnations in one message
 	gossipTerm    = 30 * clock.Second // how long a change is passed on
 	syncPeriod    = 5 * clock.Second  // at most one whole list per peer in this time
--- a/core/membership/set_test.go
+++ b/core/membership/set_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// Guards against an instance that takes long to find the one peer that it
+// reaches.
+func TestCutOffInstanceTriesAllPeers(t *testing.T) {
+	s := membership.New(1, member("a", 1), 1)
+	for _, id := range []string{"b", "c", "d", "e", "f"} {
+		s.Connected(1000, member(id, 1))
+	}
+	if got := len(s.Tick(1200)); got != 2 {
+		t.Errorf("%d peers while they are heard, want 2", got)
+	}
+	if got := len(s.Tick(2600)); got != 5 {
+		t.Errorf("%d peers when none is heard, want 5", got)
+	}
+}
+
 // Guards against a fleet in which a change reaches only some members: sets that
 // exchange gossip must agree after a bounded number of rounds.
 func TestGossipConverges(t *testing.T) {
