--- a/core/node/action_test.go
+++ b/core/node/action_test.go
@@ -75,6 +75,7 @@
 	"run":    func(w *world, a, b int) { w.keys++; w.submit(a, b, w.keys) },
 	"again":  func(w *world, a, b int) { w.submit(a, b, max(0, w.keys-b/4)) },
 	"gone":   (*world).gone,
+	"orphan": (*world).orphan,
 
 	"zoneOut":  func(w *world, a, b int) { w.file(a, 0, zoneChange(b, ticket.ZoneOut)) },
 	"zoneIn":   func(w *world, a, b int) { w.file(a, 0, zoneChange(b, ticket.ZoneIn)) },
@@ -183,6 +184,21 @@
 	})
 }
 
+// orphan kills an instance while a run request that may have gone through it is
+// at a target, and sends the request again through others.
+func (w *world) orphan(slot, b int) {
+	for _, t := range w.targets {
+		t.stalls = 1
+	}
+	w.keys++
+	n := w.keys
+	w.submit(slot, 1, n)
+	w.after(w.ms(5, 60), func() { w.crashProc(w.proc(slot+1+b%3), 2) })
+	for i := range 3 {
+		w.after(w.ms(100, 1500), func() { w.submit(slot+2+i, 1, n) })
+	}
+}
+
 func (w *world) gone(slot, _ int) {
 	for c := w.calls; c > 0; c-- {
 		if r := w.oracle.requests[c]; r != nil && !r.done && r.p == w.proc(slot) && !r.once && r.ticket == "" {
@@ -216,11 +232,13 @@
 	return ticket.Change{Scope: ticket.Scope{Kind: ticket.KindSnapshot, ID: "c"}, Value: list}
 }
 
-// newSnapshot loads the next snapshot into the targets and announces it.
+// newSnapshot loads the next snapshot into one target after the other and
+// announces it at once.
 func (w *world) newSnapshot(slot, _ int) {
 	w.snapshot++
+	id := snapshotN(w.snapshot).ID
 	for _, t := range w.targets {
-		t.snapshots = append(t.snapshots, snapshotN(w.snapshot).ID)
+		w.after(w.ms(0, 2000), func() { t.snapshots = append(t.snapshots, id) })
 	}
 	w.file(slot, 0, snapshotChange(w.snapshot, w.snapshot-1))
 }
@@ -228,11 +246,9 @@
 // retireSnapshot removes old snapshots from the targets, before or after the
 // ticket that says so.
 func (w *world) retireSnapshot(slot, b int) {
-	w.after(clock.Duration(b)*200, func() {
-		for _, t := range w.targets {
-			t.snapshots = t.snapshots[len(t.snapshots)-1:]
-		}
-	})
+	for _, t := range w.targets {
+		w.after(clock.Duration(b)*200+w.ms(0, 500), func() { t.snapshots = t.snapshots[len(t.snapshots)-1:] })
+	}
 	w.file(slot, 0, snapshotChange(w.snapshot))
 }
 
@@ -326,7 +342,7 @@
 		w.restoreZone(z)
 	}
 	for _, t := range w.targets {
-		t.draining, t.slow, t.shed, t.loses, t.confuses = false, false, 0, 0, 0
+		t.draining, t.slow, t.shed, t.loses, t.confuses, t.stalls = false, false, 0, 0, 0, 0
 		t.snapshots = []topology.SnapshotID{snapshotN(w.snapshot).ID}
 		clear(t.silent)
 	}
--- a/core/node/oracle_test.go
+++ b/core/node/oracle_test.go
@@ -24,6 +24,8 @@
 	// answerSlack is what an answer may come after the request's deadline, for
 	// the timers.
 	answerSlack = 2 * clock.Millisecond
+	// stopLimit is how long a handover may hold up a graceful stop.
+	stopLimit = 15 * clock.Second
 	// filingLimit bounds how long an operator waits.
 	filingLimit = 15 * clock.Second
 )
@@ -505,6 +507,16 @@
 	return n
 }
 
+// stops checks that nothing is in flight when a stop is called complete, unless
+// it took stopLimit.
+func (o *oracle) stops(p *proc) {
+	for _, c := range p.calls {
+		if !c.reported && c.Deadline > o.w.now && o.w.now.Sub(p.stopAt) < stopLimit {
+			o.w.breaks("P9: %s stops with a call in flight", p)
+		}
+	}
+}
+
 // stopped checks the end of a graceful stop.
 func (o *oracle) stopped(p *proc) {
 	for _, call := range slices.Sorted(maps.Keys(o.requests)) {
--- a/core/node/target_test.go
+++ b/core/node/target_test.go
@@ -34,6 +34,7 @@
 	draining  bool
 	slow      bool
 	shed      int // so many calls are shed next
+	stalls    int // so many calls take long
 	loses     int // the replies to so many calls are lost
 	confuses  int // so many answers carry another tenant's documents as well
 	silent    map[*proc]bool
@@ -209,6 +210,9 @@
 	t.running = append(t.running, c)
 	takes := w.ms(5, 20)
 	switch {
+	case t.stalls > 0:
+		t.stalls--
+		takes = w.ms(200, 1500)
 	case t.slow && w.oneIn(2):
 		takes = w.ms(200, 3000)
 	case t.cold:
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -310,6 +310,7 @@
 			p.w.platform.watch(p, p.watches, c.Prefixes, c.Since)
 		}
 	case node.Stopped:
+		p.w.oracle.stops(p)
 		p.w.after(10, p.shutdown)
 	}
 }
