--- a/core/node/oracle_test.go
+++ b/core/node/oracle_test.go
@@ -507,9 +507,14 @@
 	return n
 }
 
-// stops checks that nothing is in flight when a stop is called complete, unless
-// it took stopLimit.
+// stops checks that nothing is in flight and no share is usable when a stop is
+// called complete, unless it took stopLimit.
 func (o *oracle) stops(p *proc) {
+	for _, h := range p.node.Status(o.w.now).Holdings {
+		if h.Warm != [2]bool{} && o.w.now.Sub(p.stopAt) < stopLimit {
+			o.w.breaks("P9: %s stops with a share of %s", p, h.Service)
+		}
+	}
 	for _, c := range p.calls {
 		if !c.reported && c.Deadline > o.w.now && o.w.now.Sub(p.stopAt) < stopLimit {
 			o.w.breaks("P9: %s stops with a call in flight", p)
