--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -21,8 +21,11 @@
 	logLines     = flag.Int("node.loglines", 400, "how many events -node.log prints")
 )
 
+// defaultChecks is the number of cases without -rapid.checks.
+var defaultChecks = 60
+
 // TestMain fixes the seed. Longer runs: go test -rapid.checks=5000 -rapid.seed=7.
-func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, 60)) }
+func TestMain(m *testing.M) { os.Exit(objecttest.Main(m, defaultChecks)) }
 
 // testCase runs the actions and returns the first broken promise.
 func testCase(seed uint64, machines int, list []action) *world {
@@ -116,7 +119,7 @@
 // Guards against a planned stop that interrupts requests: each instance is
 // stopped and replaced in turn, with nothing else going wrong.
 func TestRollingRestartInterruptsNothing(t *testing.T) {
-	for seed := range uint64(*rollingSeeds) {
+	for seed := range *rollingSeeds {
 		w := newWorld(seed, 4, nil)
 		w.balanced = true
 		w.traffic()
