Give tenants turns at a holder

Cause: holders served by deadline alone. Change: start-time fair queueing between tenants with a credit of 10, by deadline within a tenant; a holder that must shed looks at the whole queue for the tenant with the most.

--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -33,12 +33,11 @@
 	}
 }
 
-// takeBatch removes the sub-request at position i from the queue, with those
-// that may share its call to t.
-func (s *Service) takeBatch(i int, t *target) []*sub {
-	head := s.queue[i]
+// takeBatch removes a sub-request from the queue, with those that may share its
+// call to t.
+func (s *Service) takeBatch(head *sub, t *target) []*sub {
 	batch := []*sub{head}
-	s.queue = slices.Delete(s.queue, i, i+1)
+	s.dequeue(head)
 	if s.maxBatch == 1 || !head.search() || head.alone || len(s.queue) == 0 {
 		return batch
 	}
@@ -68,17 +67,17 @@
 	return clock.Duration(wait)
 }
 
-// hopeless returns the first position of the queue that cannot start in time.
-func (s *Service) hopeless(now clock.Time, c capacity) (int, bool) {
+// hopeless returns the first position of the order that cannot start in time.
+func (s *Service) hopeless(now clock.Time, order []*sub, c capacity) (int, bool) {
 	if c.slots == 0 && c.opens == 0 {
-		return 0, len(s.queue) > 0
+		return 0, len(order) > 0
 	}
 	most := s.latency.most()
-	last := len(s.queue) - 1
+	last := len(order) - 1
 	if last < 0 || now.Add(s.waitFor(now, last, c)+most) <= s.queue[0].deadline {
 		return 0, false
 	}
-	for i, u := range s.queue {
+	for i, u := range order {
 		wait := s.waitFor(now, i, c)
 		if wait > 0 && now.Add(wait+most) > u.deadline {
 			return i, true
@@ -92,14 +91,15 @@
 // same queries.
 func (s *Service) refuseHopeless(now clock.Time, c capacity) {
 	for {
-		last, found := s.hopeless(now, c)
+		order := s.order()
+		last, found := s.hopeless(now, order, c)
 		if !found {
 			return
 		}
-		victim := s.queue[last]
+		victim := order[last]
 		alone := s.waitFor(now, 0, c)
 		if now.Add(alone+s.latency.most()) <= victim.deadline {
-			victim = leastWanted(s.queue[:last+1])
+			victim = leastWanted(s.queue, order[:last+1])
 		}
 		reason := message.ReasonShed
 		if c.slots == 0 {
@@ -110,23 +110,17 @@
 	}
 }
 
-// leastWanted returns the sub-request of the lowest rank among those of the
-// tenant that has the most in the queue, so that a tenant that asks for more than
+// leastWanted returns the candidate of the lowest rank among those of the tenant
+// that has the most in the whole queue, so that a tenant that asks for more than
 // its part loses its own queries first.
-func leastWanted(queue []*sub) *sub {
+func leastWanted(queue, candidates []*sub) *sub {
 	waiting := map[topology.TenantID]int{}
-	most := 0
 	for _, u := range queue {
 		waiting[u.req.Tenant]++
-		most = max(most, waiting[u.req.Tenant])
 	}
-	var victim *sub
-	for _, u := range queue {
-		if waiting[u.req.Tenant] == most && (victim == nil || byRank(u, victim) < 0) {
-			victim = u
-		}
-	}
-	return victim
+	return slices.MinFunc(candidates, func(a, b *sub) int {
+		return cmp.Or(cmp.Compare(waiting[b.req.Tenant], waiting[a.req.Tenant]), byRank(a, b))
+	})
 }
 
 func byRank(a, b *sub) int {
@@ -135,18 +129,25 @@
 
 // sendQueued starts calls while there are free slots.
 func (s *Service) sendQueued(now clock.Time) {
-	for i := 0; i < len(s.queue); {
-		u := s.queue[i]
+	for s.sendNext(now) {
+	}
+}
+
+// sendNext starts one call and reports whether it did.
+func (s *Service) sendNext(now clock.Time) bool {
+	for _, u := range s.order() {
 		t, share, ok := s.pick(now, u.avoid, nil)
 		if ok {
-			s.send(now, t, share, s.takeBatch(i, t), false)
-			continue
+			batch := s.takeBatch(u, t)
+			s.turns.took(u.req.Tenant, len(batch))
+			s.send(now, t, share, batch, false)
+			return true
 		}
 		if u.avoid == "" {
-			return
+			return false
 		}
-		i++
 	}
+	return false
 }
 
 // retry puts a sub-request back into the queue after it was lost or refused. It
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -68,7 +68,8 @@
 	targets  []*target // in the order of the configuration
 	retired  []*target // no longer configured, with calls in flight
 	subs     map[message.SubID]*sub
-	queue    []*sub  // by deadline, then arrival
+	queue    []*sub // by deadline, then arrival
+	turns    turns
 	calls    []*call // by id
 	lastCall CallID
 	lastItem ItemID
@@ -116,7 +117,7 @@
 
 // New returns a Service without work, with all targets unknown.
 func New(service topology.Service, right Right, opts ...Option) *Service {
-	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenCap), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}}
+	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenCap), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}, turns: newTurns()}
 	for _, opt := range opts {
 		opt(s)
 	}
--- /dev/null
+++ b/core/dispatch/turns_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// Guards against a tenant whose few searches wait behind the backlog of another
+// one: a holder has no other protection when entries admit too much.
+func TestTenantsTakeTurns(t *testing.T) {
+	s := New(topology.Service{ID: "s"}, nil)
+	add := func(tenant topology.TenantID, n int) {
+		for range n {
+			s.lastItem++
+			id := message.SubID{Request: message.RequestID{Seq: uint64(s.lastItem)}}
+			s.enqueue(&sub{item: s.lastItem, deadline: clock.Time(1000), req: message.SubRequest{ID: id, Tenant: tenant, Kind: message.KindSearch}})
+		}
+	}
+	serve := func(n int) (out []topology.TenantID) {
+		for range n {
+			u := s.order()[0]
+			out = append(out, u.req.Tenant)
+			s.turns.took(u.req.Tenant, len(s.takeBatch(u, &target{})))
+		}
+		return out
+	}
+	add("heavy", 40)
+	serve(20)
+	add("light", 2)
+	want := []topology.TenantID{"light", "light", "heavy"}
+	if diff := cmp.Diff(want, serve(3)); diff != "" {
+		t.Errorf("a short burst (-want +got):\n%s", diff)
+	}
+	add("light", 20)
+	turns := map[topology.TenantID]int{}
+	for _, tenant := range serve(24) {
+		turns[tenant]++
+	}
+	if turns["heavy"] < 4 {
+		t.Errorf("turns %v: two backlogs must share the slots once the credit is used", turns)
+	}
+}
