--- a/core/dispatch/turns_test.go
+++ b/core/dispatch/turns_test.go
@@ -5,7 +5,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
 )
@@ -18,7 +17,7 @@
 		for range n {
 			s.lastItem++
 			id := message.SubID{Request: message.RequestID{Seq: uint64(s.lastItem)}}
-			s.enqueue(&sub{item: s.lastItem, deadline: clock.Time(1000), req: message.SubRequest{ID: id, Tenant: tenant, Kind: message.KindSearch}})
+			s.enqueue(&sub{item: s.lastItem, deadline: 1000, req: message.SubRequest{ID: id, Tenant: tenant, Kind: message.KindSearch}})
 		}
 	}
 	serve := func(n int) (out []topology.TenantID) {
