--- a/e2e/silence_test.go
+++ b/e2e/silence_test.go
@@ -60,6 +60,7 @@
 func TestSilentPeerConnectionsKeepNewQueries(t *testing.T) {
 	t.Parallel()
 	c, forwarders := newForwardedPair(t)
+	c.warmUp() // earns tokens for the second attempts, as in TestSilentPeerConnections
 	tr := c.send(maxDeadline, mixedTexts, func() []*member { return c.members })
 	time.Sleep(time.Second)
 	c.silencePeers(forwarders)
