--- a/core/node/target_test.go
+++ b/core/node/target_test.go
@@ -95,6 +95,7 @@
 	p.w.after(c.Deadline.Sub(p.w.now)+replyMargin, func() {
 		if !c.reported {
 			delete(c.t.silent, p) // the connection is closed, the next call dials
+			c.t.disconnect(p)
 		}
 		c.fail(0, dispatch.FailureTimeout)
 	})
@@ -150,7 +151,30 @@
 	})
 }
 
+// connect notes that the process has a connection to the target.
+func (t *fakeTarget) connect(p *proc) {
+	if !p.connected[t] {
+		p.connected[t] = true
+		p.post(1, node.TargetConnected{Address: t.conf.Address})
+	}
+}
+
+// disconnect closes the connections of a process to the target.
+func (t *fakeTarget) disconnect(p *proc) {
+	if p.connected[t] {
+		delete(p.connected, t)
+		at := t.w.now
+		t.w.after(t.w.ms(1, 3), func() {
+			t.w.oracle.learn(p, t.conf.ID, message.TargetUnknown, at)
+			p.deliver(node.TargetDisconnected{Address: t.conf.Address})
+		})
+	}
+}
+
 func (t *fakeTarget) arrive(c *call) {
+	if t.up && !t.away && !t.silent[c.p] {
+		t.connect(c.p)
+	}
 	switch w := t.w; {
 	case t.away:
 		c.fail(dialFailure, dispatch.FailureNotSent)
@@ -193,6 +217,7 @@
 	if slices.ContainsFunc(c.Items, func(i dispatch.Item) bool { return i.Query == poison }) {
 		w.after(w.ms(1, 5), func() {
 			if slices.Contains(t.running, c) {
+				w.oracle.crashed(c)
 				t.crash()
 			}
 		})
@@ -285,6 +310,11 @@
 			c.fail(1, dispatch.FailureLost)
 		}
 	}
+	for _, p := range t.w.procs {
+		if !t.silent[p] && !t.away {
+			t.disconnect(p)
+		}
+	}
 	clear(t.silent)
 	t.w.after(t.w.ms(300, 2000), func() { t.up = true })
 }
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -67,6 +67,7 @@
 	filings  int
 	keys     int    // of run requests
 	calm     bool   // no more traffic
+	balanced bool   // traffic avoids instances that are not ready, or stopping for 2 s
 	broken   string // the first broken promise
 	lines    []string
 	wrap     func(*proc) trace.Machine[node.Event, node.Command]
@@ -204,6 +205,7 @@
 	watching  bool
 	stopping  bool
 	calls     map[node.TargetCallID]*call
+	connected map[*fakeTarget]bool
 }
 
 func (w *world) start(slot int) {
@@ -212,9 +214,9 @@
 		w: w, slot: slot, up: true,
 		member: topology.Member{Ref: ref, Address: address(slot), Zone: zones[slot%3], Region: region, State: topology.MemberLive},
 		links:  map[topology.InstanceRef][]*end{}, dialing: map[topology.InstanceRef][]message.Body{},
-		calls: map[node.TargetCallID]*call{},
+		calls: map[node.TargetCallID]*call{}, connected: map[*fakeTarget]bool{},
 	}
-	p.node = node.New(w.now, p.member, node.WithSeed(uint64(ref.Incarnation)), node.WithBuckets(2))
+	p.node = node.New(w.now, p.member, node.WithSeed(uint64(ref.Incarnation)), node.WithBuckets(2), node.WithUnixOffset(epoch))
 	p.machine = p.node
 	if w.wrap != nil {
 		p.machine = w.wrap(p)
