Count a cold answer that is handled after its call's deadline

Cause: after a pause a holder ends its calls at their deadlines and then drops the answers that waited. One that said cold was lost with its items, so the target stayed warm for the holder and got two calls while it bore one. Change: such an answer may still lower what is known of the target. Before: case 96600 has t10 with two calls of i2 at 31372, cold since 25261. After: it passes.

--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -114,7 +114,7 @@
 func (s *Service) Answered(now clock.Time, id CallID, a Answer) []Command {
 	c := s.call(now, id)
 	if c == nil {
-		s.load.Dropped++
+		s.lateAnswer(now, id, a)
 		return s.pump(now)
 	}
 	s.release(c)
@@ -141,6 +141,25 @@
 	return s.pump(now)
 }
 
+// lateAnswer takes an answer that is handled after its call's deadline, for
+// example after a pause. Its items are dropped, but what it says against the
+// target still counts.
+func (s *Service) lateAnswer(now clock.Time, id CallID, a Answer) {
+	s.load.Dropped++
+	c := s.expired[id]
+	delete(s.expired, id)
+	if c == nil {
+		if i, found := slices.BinarySearchFunc(s.calls, id, byID); found {
+			c = s.calls[i] // its deadline has passed, but no Tick has come since
+		}
+	}
+	if c == nil || a.State == message.TargetWarm {
+		return
+	}
+	c.target.allow.Answered(now, c.generation, a.State, a.Bears)
+	s.report(now, c.target)
+}
+
 func (s *Service) itemAnswered(now clock.Time, c *call, u *sub, a Answer) {
 	u.calls--
 	if u.done {
@@ -182,6 +201,7 @@
 func (s *Service) Failed(now clock.Time, id CallID, f Failure) []Command {
 	c := s.call(now, id)
 	if c == nil {
+		delete(s.expired, id)
 		s.load.Dropped++
 		return s.pump(now)
 	}
@@ -300,6 +320,7 @@
 	for _, c := range slices.Clone(s.calls) {
 		if c.deadline <= now {
 			s.release(c)
+			s.expired[c.id] = c
 			if !c.over {
 				s.emit(CancelCall{c.id})
 				c.timedOut(now)
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -70,7 +70,8 @@
 	subs     map[message.SubID]*sub
 	queue    []*sub // by deadline, then arrival
 	turns    turns
-	calls    []*call // by id
+	calls    []*call          // by id
+	expired  map[CallID]*call // past their deadlines, until the driver reports their ends
 	lastCall CallID
 	lastItem ItemID
 	latency  latency
@@ -117,7 +118,7 @@
 
 // New returns a Service without work, with all targets unknown.
 func New(service topology.Service, right Right, opts ...Option) *Service {
-	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenCap), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}, turns: newTurns()}
+	s := &Service{id: service.ID, right: right, maxBatch: 1, perCall: 1, budget: newBudget(tokenCap), subs: map[message.SubID]*sub{}, ran: map[message.SubID]struct{}{}, expired: map[CallID]*call{}, turns: newTurns()}
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/core/node/fuzz_test.go
+++ b/core/node/fuzz_test.go
@@ -102,6 +102,7 @@
 	{"frames that waited through a pause do not delay isolation", 19, 4, "again.1.1.30 pause.1.2.600 again.3.1.1 isolate.1.7.3500"},
 	{"a run that a lost writer may still have is not called not run", 269246, 6, "pause.4.5.30 burst.3.11.5 wait.0.5.5 snapshot.5.2.0 burst.2.7.3500"},
 	{"a cut-off instance finds the one peer that it reaches", 117, 6, "isolate.1.1.0 conflict.2.7.5 kill.2.3.6000 run.0.1.200 cold.3.0.200 cold.5.9.1700 join.5.1.600 storeLoses.3.7.6000"},
+	{"a cold answer that comes after the call's deadline leaves no target warm", 96600, 3, "crash.1.1.0 warm.0.1.3500 run.3.7.0 cold.4.7.0 conflict.3.7.1700 wait.2.0.6000 run.3.1.6000 cold.1.8.30 storeDown.0.5.30 cold.2.3.0 burst.2.8.0 pause.5.10.0 kill.4.1.600 mute.4.0.6000"},
 	{"an instance that suspects all others starts no work", 835, 6, "burst.1.1.0 pause.2.3.1 run.5.2.0 kill.0.0.0 run.1.7.600 search.2.3.1 crash.0.0.0 again.1.10.0 isolate.3.3.6000 kill.2.2.0 burst.0.0.0 again.0.11.1700 search.4.9.0 isolate.5.1.1 burst.2.1.0 stop.2.4.6000 isolate.4.2.0 cut.0.11.6000"},
 }
 
