--- a/core/claim/batch.go
+++ b/core/claim/batch.go
@@ -117,7 +117,7 @@
 
 // recorded returns the reply that a record gives to a resend.
 func recorded(id message.RequestID, c Claim) message.RunReply {
-	r := message.RunReply{ID: id, Tenant: c.Tenant, Outcome: message.OutcomeUnknown, Reason: message.ReasonInterrupted, At: c.At}
+	r := message.RunReply{ID: id, Tenant: c.Tenant, Outcome: message.OutcomeUnknown, Reason: message.ReasonInterrupted, At: c.At, Recorded: true}
 	if c.State == StateAnswered {
 		r.Outcome = message.OutcomeAnswered
 		r.Reason = ""
--- a/core/claim/entry.go
+++ b/core/claim/entry.go
@@ -55,7 +55,10 @@
 }
 
 func (e *entry) replyTo(w waiter) Command {
-	r := message.RunReply{ID: w.id, Tenant: e.id.Tenant, Outcome: e.result.Outcome, Reason: e.result.Reason, At: e.at}
+	r := message.RunReply{
+		ID: w.id, Tenant: e.id.Tenant, Outcome: e.result.Outcome, Reason: e.result.Reason, At: e.at,
+		Recorded: w.id != e.request.ID,
+	}
 	switch r.Outcome {
 	case message.OutcomeAnswered:
 		r.Answer = e.result.Answer
--- a/core/message/claim.go
+++ b/core/message/claim.go
@@ -53,6 +53,7 @@
 	Reason        Reason            `cbor:"6,keyasint,omitempty"` // set unless Outcome is answered
 	At            int64             `cbor:"7,keyasint,omitempty"` // Unix ms of the submission or claim that the outcome comes from; 0 when none was taken
 	RetryAfterMS  clock.Duration    `cbor:"8,keyasint,omitempty"` // set when Outcome is notRun
+	Recorded      bool              `cbor:"9,keyasint,omitempty"` // the outcome is that of another request with the key
 }
 
 // PeerMessage implements Body.
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -36,7 +36,6 @@
 	call     CallID
 	request  message.RunRequest
 	deadline clock.Time
-	at       int64
 	writer   topology.InstanceRef
 	attempts int
 }
@@ -76,7 +75,7 @@
 		return
 	}
 	n.seq++
-	c := &runCall{call: e.Call, deadline: e.Deadline, at: e.At, request: message.RunRequest{
+	c := &runCall{call: e.Call, deadline: e.Deadline, request: message.RunRequest{
 		ID:     message.RequestID{Entry: n.self.Ref, Seq: n.seq},
 		Tenant: e.Tenant, Collection: e.Collection, Key: message.IdempotencyKey(e.Key), Payload: e.Payload,
 	}}
@@ -146,7 +145,7 @@
 		n.stats.RepliesDropped++
 		return
 	}
-	a := AnswerRun{Call: c.call, Receipt: string(r.Answer), Recorded: r.At < c.at, RetryAfter: r.RetryAfterMS}
+	a := AnswerRun{Call: c.call, Receipt: string(r.Answer), Recorded: r.Recorded, RetryAfter: r.RetryAfterMS}
 	switch r.Outcome {
 	case message.OutcomeAnswered:
 		a.Outcome = RunAnswered
--- a/e2e/instance_test.go
+++ b/e2e/instance_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -139,6 +140,7 @@
 	c.setUp()
 	b := c.balance()
 	tr := c.send(clock.Second, mixedTexts, b.route)
+	runs := c.sendRuns(b.route)
 	for _, m := range c.members {
 		c.stopGracefully(m)
 		c.run(m)
@@ -146,5 +148,54 @@
 	}
 	time.Sleep(time.Second)
 	require(t, "complete", tr.results(time.Time{}, time.Time{}), sample.complete)
+	replies := runs()
+	bad := 0
+	for key, reply := range replies {
+		if !reply.answered() || reply.answer.Recorded {
+			bad++
+			t.Errorf("run request %s: %+v", key, reply)
+		}
+	}
+	if len(replies) == 0 || bad > 0 {
+		t.Errorf("%d of %d run requests fail", bad, len(replies))
+	}
 	c.requireNoOverload()
 }
+
+// runPeriod is the time between two requests of sendRuns.
+const runPeriod = 250 * time.Millisecond
+
+// sendRuns sends requests that may not be repeated, each with its own key,
+// through the members in turn. The returned function ends that and returns the
+// replies by key.
+func (c *cluster) sendRuns(route func() []*member) func() map[string]runReply {
+	var mu sync.Mutex
+	replies := map[string]runReply{}
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		tick := time.NewTicker(runPeriod)
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			members := route()
+			if len(members) == 0 {
+				continue
+			}
+			wait.Go(func() {
+				key := fmt.Sprintf("rolling-%d", n)
+				reply := c.runOnce(members[n%len(members)], runRequest{tokenA, tenantA, "ledgerline", key})
+				mu.Lock()
+				defer mu.Unlock()
+				replies[key] = reply
+			})
+		}
+	})
+	stop := sync.OnceFunc(func() { close(done); wait.Wait() })
+	c.t.Cleanup(stop)
+	return func() map[string]runReply { stop(); return replies }
+}
