Fail an e2e test when a process logged a panic or a data race

Cause: a process that panicked in a handler, or a race that the detector found in it, went unnoticed when the test passed.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -66,6 +66,11 @@
 	}()
 	t.Cleanup(func() {
 		p.kill()
+		for _, fault := range []string{"panic:", "panic serving", "fatal error:", "DATA RACE"} {
+			if bytes.Contains(p.logs.Bytes(), []byte(fault)) {
+				t.Errorf("%v: the log holds %q", args, fault)
+			}
+		}
 		if t.Failed() {
 			t.Logf("%v:\n%s", args, tail(p.logs.Bytes(), 4000))
 		}
