--- a/core/node/oracle_test.go
+++ b/core/node/oracle_test.go
@@ -24,6 +24,8 @@
 	// answerSlack is what an answer may come after the request's deadline, for
 	// the timers.
 	answerSlack = 2 * clock.Millisecond
+	// stopLimit is how long a handover may hold up a graceful stop.
+	stopLimit = 15 * clock.Second
 	// filingLimit bounds how long an operator waits.
 	filingLimit = 15 * clock.Second
 )
@@ -47,6 +49,7 @@
 type known struct {
 	number  ticket.Number
 	reachAt clock.Time // since when it could learn of accepted tickets
+	met     bool       // it has seen the instance list, or a peer that had
 	cutAt   clock.Time // since when it reaches nobody; 0 when it does
 	coldAt  map[topology.TargetID]clock.Time
 	warmAt  map[topology.TargetID]clock.Time
@@ -68,6 +71,7 @@
 	leftSince map[topology.TargetID]clock.Time
 	ran       map[string]int // starts of run requests
 	searched  map[string]bool
+	crashes   map[string]int // targets crashed by a request
 	complete  int            // queries answered completely
 	seen      map[string]int // what happened how often
 }
@@ -78,7 +82,7 @@
 		states: map[ticket.Number][]byte{}, usable: map[ticket.Number][]topology.Snapshot{}, at: map[ticket.Number]clock.Time{},
 		filed: map[ticket.FilingID]ticket.Number{}, refusals: map[ticket.FilingID]bool{},
 		outSince: map[topology.ZoneID]clock.Time{}, leftSince: map[topology.TargetID]clock.Time{},
-		ran: map[string]int{}, searched: map[string]bool{}, seen: map[string]int{},
+		ran: map[string]int{}, searched: map[string]bool{}, crashes: map[string]int{}, seen: map[string]int{},
 	}
 }
 
@@ -192,7 +196,7 @@
 			f := o.w.platform
 			source = source || f.reachable(j) && !f.slow || q != p && o.known[q].number >= n
 		}
-		if !source || !p.up || p.paused || !slices.Equal(reached, k.peers) {
+		if !source || !k.met || !p.up || p.paused || !slices.Equal(reached, k.peers) {
 			k.reachAt = o.w.now
 		}
 		k.peers = reached
@@ -222,6 +226,10 @@
 
 // learned notes reports of targets that reach a node.
 func (o *oracle) learned(p *proc, e node.Event) {
+	switch e.(type) {
+	case node.MembersListed, node.PeerConnected:
+		o.known[p].met = true // before, no address was known to either side
+	}
 	received, ok := e.(node.PeerReceived)
 	if !ok {
 		return
@@ -319,6 +327,20 @@
 	return len(s.Live)+len(s.Suspected) > 1
 }
 
+// crashed counts the targets that a request crashed: at most two in its
+// retention period, docs/design.md sections 1.5 and 10.
+func (o *oracle) crashed(c *call) {
+	for _, item := range c.Items {
+		if item.Query != poison {
+			continue
+		}
+		key := string(item.Tenant) + "/" + item.Query
+		if o.crashes[key]++; o.crashes[key] > 2 {
+			o.w.breaks("crashing request: %s crashes %d targets", key, o.crashes[key])
+		}
+	}
+}
+
 // allNotRun reports whether every request for the key was told "not run".
 func (o *oracle) allNotRun(key string, once bool) bool {
 	for _, r := range o.requests {
@@ -443,6 +465,7 @@
 		return
 	}
 	o.seen["run "+string(c.Outcome)]++
+	o.w.logf("OUTCOME %s %s %s", r.key(), c.Outcome, p)
 	switch c.Outcome {
 	case node.RunNotRun:
 		o.notRun(r)
@@ -484,6 +507,16 @@
 	return n
 }
 
+// stops checks that nothing is in flight when a stop is called complete, unless
+// it took stopLimit.
+func (o *oracle) stops(p *proc) {
+	for _, c := range p.calls {
+		if !c.reported && c.Deadline > o.w.now && o.w.now.Sub(p.stopAt) < stopLimit {
+			o.w.breaks("P9: %s stops with a call in flight", p)
+		}
+	}
+}
+
 // stopped checks the end of a graceful stop.
 func (o *oracle) stopped(p *proc) {
 	for _, call := range slices.Sorted(maps.Keys(o.requests)) {
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -108,7 +108,8 @@
 func (n *Node) claimWriter(now clock.Time, partition uint32, avoid topology.InstanceRef) (topology.Member, bool) {
 	var candidates []topology.Member
 	for _, m := range n.members.Live(now) {
-		if m.Ref != avoid && m.State == topology.MemberLive && m.Region == n.self.Region {
+		leaving := m.State != topology.MemberLive || m.Ref == n.self.Ref && n.stopping
+		if m.Ref != avoid && !leaving && m.Region == n.self.Region {
 			candidates = append(candidates, m)
 		}
 	}
@@ -151,6 +152,10 @@
 		a.Outcome = RunAnswered
 	case message.OutcomeNotRun:
 		a.Outcome = RunNotRun
+		if c.attempts > 1 {
+			// A writer that was lost may still have the request and run it.
+			a.Outcome = RunUnknown
+		}
 		a.RetryAfter = max(a.RetryAfter, runRetry)
 	default:
 		a.Outcome = RunUnknown
--- a/core/node/target_test.go
+++ b/core/node/target_test.go
@@ -34,6 +34,7 @@
 	draining  bool
 	slow      bool
 	shed      int // so many calls are shed next
+	stalls    int // so many calls take long
 	loses     int // the replies to so many calls are lost
 	confuses  int // so many answers carry another tenant's documents as well
 	silent    map[*proc]bool
@@ -95,6 +96,7 @@
 	p.w.after(c.Deadline.Sub(p.w.now)+replyMargin, func() {
 		if !c.reported {
 			delete(c.t.silent, p) // the connection is closed, the next call dials
+			c.t.disconnect(p)
 		}
 		c.fail(0, dispatch.FailureTimeout)
 	})
@@ -150,7 +152,30 @@
 	})
 }
 
+// connect notes that the process has a connection to the target.
+func (t *fakeTarget) connect(p *proc) {
+	if !p.connected[t] {
+		p.connected[t] = true
+		p.post(1, node.TargetConnected{Address: t.conf.Address})
+	}
+}
+
+// disconnect closes the connections of a process to the target.
+func (t *fakeTarget) disconnect(p *proc) {
+	if p.connected[t] {
+		delete(p.connected, t)
+		at := t.w.now
+		t.w.after(t.w.ms(1, 3), func() {
+			t.w.oracle.learn(p, t.conf.ID, message.TargetUnknown, at)
+			p.deliver(node.TargetDisconnected{Address: t.conf.Address})
+		})
+	}
+}
+
 func (t *fakeTarget) arrive(c *call) {
+	if t.up && !t.away && !t.silent[c.p] {
+		t.connect(c.p)
+	}
 	switch w := t.w; {
 	case t.away:
 		c.fail(dialFailure, dispatch.FailureNotSent)
@@ -185,6 +210,9 @@
 	t.running = append(t.running, c)
 	takes := w.ms(5, 20)
 	switch {
+	case t.stalls > 0:
+		t.stalls--
+		takes = w.ms(200, 1500)
 	case t.slow && w.oneIn(2):
 		takes = w.ms(200, 3000)
 	case t.cold:
@@ -193,6 +221,7 @@
 	if slices.ContainsFunc(c.Items, func(i dispatch.Item) bool { return i.Query == poison }) {
 		w.after(w.ms(1, 5), func() {
 			if slices.Contains(t.running, c) {
+				w.oracle.crashed(c)
 				t.crash()
 			}
 		})
@@ -285,6 +314,11 @@
 			c.fail(1, dispatch.FailureLost)
 		}
 	}
+	for _, p := range t.w.procs {
+		if !t.silent[p] && !t.away {
+			t.disconnect(p)
+		}
+	}
 	clear(t.silent)
 	t.w.after(t.w.ms(300, 2000), func() { t.up = true })
 }
