Apply all settings, look for silent links in one goroutine and sort members less often

Cause: eight settings were checked and used nowhere; the queue of each link took 1 MB (747 MB at 690 peers, docs/measurements/link-memory.txt) and its own timer; every tick of 50 ms sorted the members twice. Change: the limits and time-outs of the settings reach the caller server and the hub; platformWatchMs is gone, since the length of a watch decides how long a reply counts as proof that the store is reachable. A link queue holds 4,096 bodies; one goroutine watches all links; members are looked at every 250 ms. A silent link takes with it only the links that were open when it was found out. A query that learns of its own quarantine is refused with the code quarantined, and run replies have a request id.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -153,6 +153,11 @@
 // TickPeriod.
 func (n *Node) NextWake() clock.Time { return n.alarms.next() }
 
+// livePeriod is how often silent members are looked for. Each look sorts the
+// members, which at 690 of them took half of the control work when every tick did
+// it.
+const livePeriod = 250 * clock.Millisecond
+
 // TickPeriod is how often a driver sends Tick when nothing else is due.
 const TickPeriod = 50 * clock.Millisecond
 
@@ -209,13 +214,16 @@
 	for _, send := range n.members.Tick(now) {
 		n.send(send.To, send.Body)
 	}
-	n.membersChanged(now)
+	if !now.Before(n.spread.liveAt) {
+		n.spread.liveAt = now.Add(livePeriod)
+		n.membersChanged(now)
+		n.watch(now)
+	}
 	n.holding(n.holder.StoreReachable(now, n.members.ReachesStore(now)))
 	n.holding(n.holder.Tick(now))
 	n.tickBoot(now)
 	n.tickHeld(now)
 	n.tickSpread(now)
-	n.watch(now)
 	n.checkStopped(now)
 }
 
--- a/core/node/spread.go
+++ b/core/node/spread.go
@@ -34,6 +34,7 @@
 	announceAt clock.Time // when a change is announced; 0 when there is none
 	rank       uint64     // varies the choice of peers
 	liveHash   uint64
+	liveAt     clock.Time // of the next regular look at the members
 }
 
 func newSpread() spread {
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -61,11 +61,16 @@
 }
 
 func notRun(a query.Answer, missing []caller.MissingShards) *caller.Error {
-	code, why := caller.CodeUnavailable, "no shard could be reached"
+	why := "no shard could be reached"
+	for _, m := range missing {
+		if m.Reason == message.ReasonQuarantined {
+			return refusal(node.RefusedQuarantined, a.RetryAfter)
+		}
+	}
 	if len(missing) > 0 {
 		why += " (" + string(missing[0].Reason) + ")"
 	}
-	return caller.NotRun(code, a.RetryAfter, why)
+	return caller.NotRun(caller.CodeUnavailable, a.RetryAfter, why)
 }
 
 var refusals = map[node.Refusal]struct {
@@ -102,20 +107,21 @@
 	case node.RefuseCall:
 		return caller.RunAnswer{}, refusal(c.Refusal, c.RetryAfter)
 	case node.AnswerRun:
-		return runAnswer(c)
+		return in.runAnswer(c)
 	}
 	return caller.RunAnswer{}, gone()
 }
 
-func runAnswer(c node.AnswerRun) (caller.RunAnswer, error) {
+func (in *Instance) runAnswer(c node.AnswerRun) (caller.RunAnswer, error) {
 	switch c.Outcome {
 	case node.RunAnswered:
-		return caller.RunAnswer{Outcome: caller.OutcomeAnswered, Receipt: c.Receipt, Recorded: c.Recorded}, nil
+		id := in.self.Ref.String() + "-run-" + strconv.FormatUint(uint64(c.Call), 10)
+		return caller.RunAnswer{RequestID: id, Outcome: caller.OutcomeAnswered, Receipt: c.Receipt, Recorded: c.Recorded}, nil
 	case node.RunNotRun:
 		if c.Refusal != "" {
 			return caller.RunAnswer{}, refusal(c.Refusal, c.RetryAfter)
 		}
-		return caller.RunAnswer{}, caller.NotRun(caller.CodeUnavailable, c.RetryAfter, "no target took the request")
+		return caller.RunAnswer{}, caller.NotRun(caller.CodeUnavailable, c.RetryAfter, "the request could not be claimed or sent")
 	default:
 		return caller.RunAnswer{}, &caller.Error{
 			Code: caller.CodeUnknownOutcome, Outcome: caller.OutcomeUnknown,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
@@ -135,6 +136,9 @@
 		}
 		defer func() { _ = listener.Close() }()
 		listeners[i] = listener
+		if i == 0 {
+			listeners[i] = netutil.LimitListener(listener, in.settings.Limits.Connections)
+		}
 	}
 	in.self.Address = peerAddress(in.settings, listeners[1])
 	now := in.clock.Now()
@@ -144,7 +148,8 @@
 		return err
 	}
 	defer in.closeTrace()
-	in.hub = peer.NewHub(in.self, string(in.settings.PeerToken), in, func() message.Header { return *in.header.Load() })
+	in.hub = peer.NewHub(in.self, string(in.settings.PeerToken), in, func() message.Header { return *in.header.Load() },
+		peer.WithLimits(in.settings.Timeouts.PeerDialMS, in.settings.Limits.PeerMessageBytes))
 	// The loop outlives ctx: a graceful stop needs it.
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -198,11 +203,18 @@
 }
 
 func (in *Instance) callerHandler() http.Handler {
-	c := caller.NewServer(in, in.tokens, caller.WithMaxConcurrent(in.settings.Limits.Queries))
+	c := caller.NewServer(in, in.tokens, caller.WithLimits(callerLimits(in.settings)))
 	in.addHealth(c.Echo())
 	return c
 }
 
+func callerLimits(s settings.Settings) caller.Limits {
+	return caller.Limits{
+		Concurrent: s.Limits.Queries, BodyBytes: int64(s.Limits.BodyBytes), Hits: s.Limits.Hits,
+		Deadline: s.Limits.DeadlineMS, DefaultDeadline: s.Timeouts.DeadlineMS,
+	}
+}
+
 // stop ends the instance gracefully. The servers close last, so that no caller
 // that still reaches this instance is cut.
 func (in *Instance) stop(s servers) {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -18,17 +18,25 @@
 
 // Limits on what a caller may send.
 const (
-	MaxBodyBytes  = 64 << 10
 	MaxQueryBytes = 16 << 10
 	MaxKeyBytes   = 256
-	MaxLimit      = 1000
-	// MaxDeadline is the longest possible work in flight at a target; shares
-	// change hands only after it.
-	MaxDeadline     = 2 * clock.Second
-	defaultLimit    = 10
-	defaultDeadline = clock.Second
+	defaultLimit  = 10
 )
 
+// Limits are the bounds that the settings state.
+type Limits struct {
+	Concurrent      int            // requests in progress; further ones are refused at once
+	BodyBytes       int64          // of a request
+	Hits            int            // largest limit of a query
+	Deadline        clock.Duration // longest deadline; at most the longest work in flight at a target
+	DefaultDeadline clock.Duration // of requests that state none
+}
+
+// DefaultLimits returns the limits of an empty settings file.
+func DefaultLimits() Limits {
+	return Limits{Concurrent: 4096, BodyBytes: 64 << 10, Hits: 1000, Deadline: 2 * clock.Second, DefaultDeadline: clock.Second}
+}
+
 // Backend executes authenticated requests. Its methods fail with *Error.
 type Backend interface {
 	Search(ctx context.Context, tenant topology.TenantID, r SearchRequest) (SearchAnswer, error)
@@ -40,30 +48,26 @@
 	echo    *echo.Echo
 	backend Backend
 	tokens  map[string]topology.TenantID
+	limits  Limits
 	slots   chan struct{} // one for each request in progress
 }
 
 // Option changes a Server.
 type Option func(*Server)
 
-// WithMaxConcurrent bounds the requests in progress; the default is 4,096.
-// Further ones are refused at once.
-func WithMaxConcurrent(n int) Option {
-	return func(s *Server) { s.slots = make(chan struct{}, n) }
-}
+// WithLimits replaces DefaultLimits.
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
 
-const (
-	defaultConcurrent = 4096
-	busyRetry         = 100 * clock.Millisecond
-)
+const busyRetry = 100 * clock.Millisecond
 
 // NewServer returns a Server that authenticates callers by tokens, a map of
 // bearer tokens to tenants.
 func NewServer(backend Backend, tokens map[string]topology.TenantID, opts ...Option) *Server {
-	s := &Server{echo: echo.New(), backend: backend, tokens: tokens, slots: make(chan struct{}, defaultConcurrent)}
+	s := &Server{echo: echo.New(), backend: backend, tokens: tokens, limits: DefaultLimits()}
 	for _, o := range opts {
 		o(s)
 	}
+	s.slots = make(chan struct{}, s.limits.Concurrent)
 	s.echo.HideBanner = true
 	s.echo.HidePort = true
 	s.echo.HTTPErrorHandler = writeError
@@ -97,10 +101,10 @@
 		return err
 	}
 	var r SearchRequest
-	if err := DecodeBody(c.Request(), MaxBodyBytes, &r); err != nil {
+	if err := DecodeBody(c.Request(), s.limits.BodyBytes, &r); err != nil {
 		return err
 	}
-	if err := r.check(); err != nil {
+	if err := r.check(s.limits); err != nil {
 		return err
 	}
 	answer, err := s.backend.Search(c.Request().Context(), tenant, r)
@@ -116,11 +120,11 @@
 		return err
 	}
 	var r RunRequest
-	if err := DecodeBody(c.Request(), MaxBodyBytes, &r); err != nil {
+	if err := DecodeBody(c.Request(), s.limits.BodyBytes, &r); err != nil {
 		return err
 	}
 	r.Key = c.Request().Header.Get("Idempotency-Key")
-	if err := r.check(); err != nil {
+	if err := r.check(s.limits); err != nil {
 		return err
 	}
 	answer, err := s.backend.Run(c.Request().Context(), tenant, r)
@@ -169,28 +173,28 @@
 }
 
 // check fills in defaults and refuses values out of range.
-func (r *SearchRequest) check() error {
+func (r *SearchRequest) check(l Limits) error {
 	if r.Limit == 0 {
 		r.Limit = defaultLimit
 	}
-	if r.Collection == "" || len(r.Query) > MaxQueryBytes || r.Limit < 0 || r.Limit > MaxLimit {
+	if r.Collection == "" || len(r.Query) > MaxQueryBytes || r.Limit < 0 || r.Limit > l.Hits {
 		return NotRun(CodeBadRequest, 0, "collection, query or limit is out of range")
 	}
-	return checkDeadline(&r.DeadlineMS)
+	return l.checkDeadline(&r.DeadlineMS)
 }
 
-func (r *RunRequest) check() error {
+func (r *RunRequest) check(l Limits) error {
 	if r.Collection == "" || r.Key == "" || len(r.Key) > MaxKeyBytes || len(r.Payload) > MaxQueryBytes {
 		return NotRun(CodeBadRequest, 0, "collection, payload or Idempotency-Key is out of range")
 	}
-	return checkDeadline(&r.DeadlineMS)
+	return l.checkDeadline(&r.DeadlineMS)
 }
 
-func checkDeadline(d *clock.Duration) error {
+func (l Limits) checkDeadline(d *clock.Duration) error {
 	if *d == 0 {
-		*d = defaultDeadline
+		*d = l.DefaultDeadline
 	}
-	if *d < 0 || *d > MaxDeadline {
+	if *d < 0 || *d > l.Deadline {
 		return NotRun(CodeBadRequest, 0, "deadlineMs is out of range")
 	}
 	return nil
--- a/io/peer/hub.go
+++ b/io/peer/hub.go
@@ -12,12 +12,13 @@
 
 	"github.com/coder/websocket"
 
+	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
 )
 
 const (
-	dialTimeout = 1500 * time.Millisecond
+	defaultDialTimeout = 500 * clock.Millisecond
 	// Path is where an instance accepts connections of its peers.
 	Path = "/peer"
 )
@@ -40,12 +41,14 @@
 // Hub keeps the connections of one instance to its peers. It dials when there
 // is something to send, and uses connections in both directions.
 type Hub struct {
-	self    topology.Member
-	handler Handler
-	header  func() message.Header
-	token   string
-	ctx     context.Context
-	cancel  context.CancelFunc
+	self        topology.Member
+	handler     Handler
+	header      func() message.Header
+	token       string
+	dialTimeout time.Duration
+	maxFrame    int
+	ctx         context.Context
+	cancel      context.CancelFunc
 
 	sentBytes atomic.Int64
 
@@ -54,15 +57,30 @@
 	dialing map[topology.InstanceRef][]message.Body
 }
 
+// Option changes a Hub.
+type Option func(*Hub)
+
+// WithLimits sets the time for dialling a peer and the largest frame in bytes
+// that is accepted; the defaults are 500 ms and 4 MB.
+func WithLimits(dial clock.Duration, frameBytes int) Option {
+	return func(h *Hub) { h.dialTimeout, h.maxFrame = dial.Std(), frameBytes }
+}
+
 // NewHub returns a Hub that introduces itself as self, stamps frames with the
 // value of header, and accepts only peers that present token.
-func NewHub(self topology.Member, token string, handler Handler, header func() message.Header) *Hub {
+func NewHub(self topology.Member, token string, handler Handler, header func() message.Header, opts ...Option) *Hub {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Hub{
+	h := &Hub{
+		dialTimeout: defaultDialTimeout.Std(), maxFrame: maxFrameBytes,
 		self: self, token: token, handler: handler, header: header, ctx: ctx, cancel: cancel,
 		links:   map[topology.InstanceRef][]*link{},
 		dialing: map[topology.InstanceRef][]message.Body{},
 	}
+	for _, o := range opts {
+		o(h)
+	}
+	go h.watchSilence()
+	return h
 }
 
 // Close drops all connections.
@@ -89,7 +107,7 @@
 }
 
 func (h *Hub) dial(to topology.Member) {
-	ctx, cancel := context.WithTimeout(h.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, h.dialTimeout)
 	defer cancel()
 	opts := &websocket.DialOptions{HTTPHeader: http.Header{"Authorization": {"Bearer " + h.token}}}
 	conn, resp, err := websocket.Dial(ctx, "ws://"+to.Address+Path, opts)
@@ -100,7 +118,9 @@
 		h.dialFailed(to.Ref, errors.Is(err, syscall.ECONNREFUSED))
 		return
 	}
-	actual, err := h.exchangeHello(ctx, conn)
+	helloCtx, cancelHello := context.WithTimeout(h.ctx, helloTimeout)
+	defer cancelHello()
+	actual, err := h.exchangeHello(helloCtx, conn)
 	switch {
 	case err != nil:
 		_ = conn.CloseNow()
@@ -143,7 +163,7 @@
 
 // exchangeHello introduces this instance and returns the peer's introduction.
 func (h *Hub) exchangeHello(ctx context.Context, conn *websocket.Conn) (topology.Member, error) {
-	conn.SetReadLimit(maxFrameBytes)
+	conn.SetReadLimit(int64(h.maxFrame))
 	data, err := Encode(Frame{Header: h.header(), Bodies: []message.Body{message.Hello{Member: h.self}}})
 	if err != nil {
 		return topology.Member{}, err
@@ -185,13 +205,41 @@
 	}
 }
 
-// abandon closes all links to a peer. Whatever silenced one of them may have
-// silenced the others, and finding that out one by one took as long again.
-func (h *Hub) abandon(ref topology.InstanceRef) {
+// abandon closes the links to a peer that were open at the given time. Whatever
+// silenced one of them may have silenced the others, and finding that out one by
+// one took as long again.
+func (h *Hub) abandon(ref topology.InstanceRef, openAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, l := range h.links[ref] {
-		l.cancel()
+		if l.opened.Before(openAt) {
+			l.cancel()
+		}
+	}
+}
+
+// watchSilence looks at all links in one goroutine; a timer for each of 690 links
+// woke the process 5,500 times a second.
+func (h *Hub) watchSilence() {
+	tick := time.NewTicker(probeAfter / 4)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case now := <-tick.C:
+			h.checkLinks(now)
+		}
+	}
+}
+
+func (h *Hub) checkLinks(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, open := range h.links {
+		for _, l := range open {
+			l.checkSilence(now)
+		}
 	}
 }
 
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -14,8 +14,9 @@
 
 const (
 	// maxQueuedBodies bounds what waits for a slow peer; the link is closed when
-	// it overflows, and reads in flight then go to another holder.
-	maxQueuedBodies = 65536
+	// it overflows, and reads in flight then go to another holder. The queue is
+	// allocated with the link: at 65,536 it took 1 MB for each of 690 peers.
+	maxQueuedBodies = 4096
 	// maxBodiesPerFrame keeps one frame below maxFrameBytes for usual bodies.
 	maxBodiesPerFrame = 512
 	writeTimeout      = 1500 * time.Millisecond
@@ -36,15 +37,17 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	lastRead  atomic.Int64 // unix ns of the last bytes received
-	firstSend atomic.Int64 // unix ns of the first bytes sent since then; 0 when none
+	opened    time.Time
+	firstSend atomic.Int64 // unix ns of the first bytes sent since the last ones received; 0 when none
+	probing   atomic.Bool
 }
 
 func newLink(h *Hub, conn *websocket.Conn, peer topology.Member) *link {
 	ctx, cancel := context.WithCancel(h.ctx)
-	l := &link{hub: h, conn: conn, peer: peer, queue: make(chan message.Body, maxQueuedBodies), ctx: ctx, cancel: cancel}
-	l.lastRead.Store(time.Now().UnixNano())
-	return l
+	return &link{
+		hub: h, conn: conn, peer: peer, queue: make(chan message.Body, maxQueuedBodies),
+		ctx: ctx, cancel: cancel, opened: time.Now(),
+	}
 }
 
 // enqueue hands b to the writer. It reports false when the link is closed or
@@ -65,7 +68,6 @@
 // run serves the link until it ends.
 func (l *link) run() {
 	go l.write()
-	go l.watchSilence()
 	l.read()
 	l.cancel()
 	_ = l.conn.CloseNow() // the link is over; a failure to close changes nothing
@@ -77,7 +79,6 @@
 		if err != nil {
 			return
 		}
-		l.lastRead.Store(time.Now().UnixNano())
 		l.firstSend.Store(0)
 		f, err := Decode(data)
 		if err != nil {
@@ -130,26 +131,20 @@
 	return errors.WithStack(l.conn.Write(ctx, websocket.MessageBinary, data))
 }
 
-// watchSilence closes a link on which sent bytes bring nothing back. A link
-// that nobody sends on is left alone, so idle links cost no traffic.
-func (l *link) watchSilence() {
-	tick := time.NewTicker(probeAfter / 4)
-	defer tick.Stop()
-	for {
-		select {
-		case <-l.ctx.Done():
-			return
-		case now := <-tick.C:
-			first := l.firstSend.Load()
-			if first == 0 || now.UnixNano()-first < int64(probeAfter) {
-				continue
-			}
-			if !l.probe(silentAfter - probeAfter) {
-				l.hub.abandon(l.peer.Ref)
-				return
-			}
-		}
+// checkSilence closes a link on which sent bytes bring nothing back, and all
+// others to the peer that were open by then. A link that nobody sends on is left
+// alone, so idle links cost no traffic.
+func (l *link) checkSilence(now time.Time) {
+	first := l.firstSend.Load()
+	if first == 0 || now.UnixNano()-first < int64(probeAfter) || !l.probing.CompareAndSwap(false, true) {
+		return
 	}
+	go func() {
+		defer l.probing.Store(false)
+		if !l.probe(silentAfter - probeAfter) {
+			l.hub.abandon(l.peer.Ref, now)
+		}
+	}()
 }
 
 // probe reports whether the peer answers a WebSocket ping within d.
--- a/settings/check.go
+++ b/settings/check.go
@@ -138,7 +138,6 @@
 		{"timeouts.peerDialMs", t.PeerDialMS},
 		{"timeouts.targetDialMs", t.TargetDialMS},
 		{"timeouts.platformCallMs", t.PlatformCallMS},
-		{"timeouts.platformWatchMs", t.PlatformWatchMS},
 		{"timeouts.shutdownMs", t.ShutdownMS},
 	} {
 		within(r, d.path, d.value, 1, clock.Hour)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,14 +61,13 @@
 // Timeouts bound how long the instance waits, in milliseconds. All are at
 // least 1.
 type Timeouts struct {
-	DeadlineMS      clock.Duration `json:"deadlineMs"`      // deadline of requests that state none, at most limits.deadlineMs; default 1,000
-	ReadHeaderMS    clock.Duration `json:"readHeaderMs"`    // for the header of a caller request; default 5,000
-	IdleMS          clock.Duration `json:"idleMs"`          // until an idle caller connection is closed; default 60,000
-	PeerDialMS      clock.Duration `json:"peerDialMs"`      // to connect to an instance; default 500
-	TargetDialMS    clock.Duration `json:"targetDialMs"`    // to connect to a target; default 250
-	PlatformCallMS  clock.Duration `json:"platformCallMs"`  // for one call of the platform; default 1,000
-	PlatformWatchMS clock.Duration `json:"platformWatchMs"` // that one watch waits for a change; default 20,000
-	ShutdownMS      clock.Duration `json:"shutdownMs"`      // for a graceful shutdown; default 30,000
+	DeadlineMS     clock.Duration `json:"deadlineMs"`     // deadline of requests that state none, at most limits.deadlineMs; default 1,000
+	ReadHeaderMS   clock.Duration `json:"readHeaderMs"`   // for the header of a caller request; default 5,000
+	IdleMS         clock.Duration `json:"idleMs"`         // until an idle caller connection is closed; default 60,000
+	PeerDialMS     clock.Duration `json:"peerDialMs"`     // to connect to an instance; default 500
+	TargetDialMS   clock.Duration `json:"targetDialMs"`   // to connect to a target; default 250
+	PlatformCallMS clock.Duration `json:"platformCallMs"` // for one call of the platform; default 1,000
+	ShutdownMS     clock.Duration `json:"shutdownMs"`     // for a graceful shutdown; default 30,000
 }
 
 // Token is a secret. Its String and LogValue hide it from logs.
@@ -107,14 +106,13 @@
 			PeerMessageBytes: 4 << 20,
 		},
 		Timeouts: Timeouts{
-			DeadlineMS:      clock.Second,
-			ReadHeaderMS:    5 * clock.Second,
-			IdleMS:          clock.Minute,
-			PeerDialMS:      500,
-			TargetDialMS:    250,
-			PlatformCallMS:  clock.Second,
-			PlatformWatchMS: 20 * clock.Second,
-			ShutdownMS:      30 * clock.Second,
+			DeadlineMS:     clock.Second,
+			ReadHeaderMS:   5 * clock.Second,
+			IdleMS:         clock.Minute,
+			PeerDialMS:     500,
+			TargetDialMS:   250,
+			PlatformCallMS: clock.Second,
+			ShutdownMS:     30 * clock.Second,
 		},
 		LogLevel: LogInfo,
 	}
