Hedge after the 97.5th percentile

Cause: at the 95th percentile, hedges of ordinary calls took the whole budget of 3.5 %; slow calls found it empty. Change: the quantile is 97.5 %.

--- a/core/dispatch/call.go
+++ b/core/dispatch/call.go
@@ -57,8 +57,8 @@
 		s.countSend(now, u)
 	}
 	c.deadline = min(c.deadline.Add(EndMargin), now.Add(maxTargetWork))
-	if head.search() && !head.alone && !hedge && !s.noHedges && s.latency.p95 > 0 {
-		c.hedgeAt = now.Add(s.latency.p95 + 1)
+	if head.search() && !head.alone && !hedge && !s.noHedges && s.latency.tail > 0 {
+		c.hedgeAt = now.Add(s.latency.tail + 1)
 	}
 	cmd.Deadline = c.deadline.Add(-EndMargin)
 	cmd.StartBy = min(cmd.Deadline, now.Add(startTerm))
--- a/core/dispatch/latency.go
+++ b/core/dispatch/latency.go
@@ -8,18 +8,21 @@
 
 const (
 	latencyWindow = 128 // calls that the percentile looks back on
-	latencyMin    = 20  // calls before the percentile is used: 5 % of 20 is one call
+	latencyMin    = 40  // calls before the percentile is used: 2.5 % of 40 is one call
 	sortEvery     = 16  // calls between two computations of the percentile
 	meanWeight    = 0.05
+	// tailPermille is the quantile after which a call is hedged. At 950 the hedges
+	// of ordinary calls used up the budget, and slow calls found it empty.
+	tailPermille = 975
 )
 
 // latency is the recent latency of a service's calls.
 type latency struct {
 	ring  [latencyWindow]clock.Duration
-	count int     // calls put into the ring
-	known bool    // there was a call
-	mean  float64 // ms, exponentially weighted
-	p95   clock.Duration
+	count int            // calls put into the ring
+	known bool           // there was a call
+	mean  float64        // ms, exponentially weighted
+	tail  clock.Duration // the quantile tailPermille; 0 before it is known
 }
 
 // observe counts a call. Runs take another path at the target: they count for
@@ -38,7 +41,7 @@
 		sorted := l.ring
 		n := min(l.count, latencyWindow)
 		slices.Sort(sorted[:n])
-		l.p95 = sorted[n*95/100]
+		l.tail = sorted[n*tailPermille/1000]
 	}
 }
 
@@ -51,7 +54,7 @@
 }
 
 // most returns the time within which most calls end.
-func (l *latency) most() clock.Duration { return max(l.p95, l.typical()) }
+func (l *latency) most() clock.Duration { return max(l.tail, l.typical()) }
 
 const (
 	tokenUnit   = 1000 // budget units for one extra sub-request
