--- a/core/membership/set.go
+++ b/core/membership/set.go
@@ -47,14 +47,13 @@
 // record is what is known of one instance. The newest incarnation replaces
 // older ones.
 type record struct {
-	member       topology.Member
-	listed       bool       // the platform's list has named this incarnation
-	heardAt      clock.Time // last frame; 0 when never
-	lostAt       clock.Time // when the last connection was lost; 0 when not lost
-	changedAt    clock.Time
-	reachesStore bool
-	leaving      bool
-	syncedAt     clock.Time
+	member    topology.Member
+	listed    bool       // the platform's list has named this incarnation
+	heardAt   clock.Time // last frame; 0 when never
+	lostAt    clock.Time // when the last connection was lost; 0 when not lost
+	changedAt clock.Time
+	leaving   bool
+	syncedAt  clock.Time
 }
 
 // Set is the membership as one instance sees it.
@@ -132,7 +131,6 @@
 	if r == nil {
 		return
 	}
-	r.reachesStore = h.ReachesStore
 	if h.Leaving && !r.leaving {
 		r.leaving = true
 		r.member.State = topology.MemberLeaving
@@ -237,9 +235,6 @@
 	return r != nil && r.member.Ref == ref && (r.lostAt != 0 || r.leaving)
 }
 
-// Known returns the number of other instances that have not provably ended.
-func (s *Set) Known() int { return len(s.records) }
-
 // Suspected returns the members that no connection reaches, ordered by id.
 func (s *Set) Suspected(now clock.Time) []topology.Member {
 	var out []topology.Member
@@ -257,18 +252,6 @@
 	return s.storeAt != 0 && now.Sub(s.storeAt) < storeTerm
 }
 
-// StoreRelay returns a peer heard lately that reaches the store, the first by
-// id.
-func (s *Set) StoreRelay(now clock.Time) (topology.Member, bool) {
-	for _, id := range s.ids() {
-		r := s.records[id]
-		if r.reachesStore && r.heardAt != 0 && now.Sub(r.heardAt) < heardTerm {
-			return r.member, true
-		}
-	}
-	return topology.Member{}, false
-}
-
 // Isolated reports whether this instance has heard neither the store nor any
 // peer for isolatedAfter although other instances are known. Such an instance
 // can't know which configuration is in force.
--- a/core/node/action_test.go
+++ b/core/node/action_test.go
@@ -180,7 +180,7 @@
 	text := fmt.Sprint("run", n)
 	r := request{tenant: tenantN(n), text: text, once: true, deadline: w.now.Add([]clock.Duration{1000, 2000, 300, 1500}[b%4])}
 	w.ask(slot, r, func(c node.CallID) node.Event {
-		return node.RunArrived{Call: c, Tenant: r.tenant, Collection: "c", Key: text, Payload: text, Deadline: r.deadline, At: w.unixMS()}
+		return node.RunArrived{Call: c, Tenant: r.tenant, Collection: "c", Key: text, Payload: text, Deadline: r.deadline}
 	})
 }
 
--- a/core/node/event.go
+++ b/core/node/event.go
@@ -45,7 +45,6 @@
 	Key        string
 	Payload    string
 	Deadline   clock.Time
-	At         int64 // wall clock in Unix ms
 }
 
 // CallerGone says that nobody waits for the call's answer any more.
@@ -77,7 +76,6 @@
 type TargetAnswered struct {
 	Call   TargetCallID
 	Answer dispatch.Answer
-	Fresh  bool // the call opened a new connection
 }
 
 // TargetFailed says that a CallTarget has no answer.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -166,7 +166,6 @@
 	case SearchArrived:
 		n.searchArrived(now, e)
 	case RunArrived:
-		n.unixMS = e.At - int64(now)
 		n.runArrived(now, e)
 	case CallerGone:
 		n.callerGone(now, e.Call)
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -97,7 +97,7 @@
 	c, ok := in.request(ctx, func(call node.CallID) node.Event {
 		return node.RunArrived{
 			Call: call, Tenant: tenant, Collection: r.Collection, Key: r.Key, Payload: r.Payload,
-			Deadline: start.Add(r.DeadlineMS), At: in.clock.UnixMillis(),
+			Deadline: start.Add(r.DeadlineMS),
 		}
 	})
 	if !ok {
--- a/instance/targets.go
+++ b/instance/targets.go
@@ -67,7 +67,7 @@
 	if a.Status == target.CallCancelled || a.Status == target.CallDeadline {
 		return node.TargetFailed{Call: c.Call, Failure: dispatch.FailureEnded}
 	}
-	return node.TargetAnswered{Call: c.Call, Fresh: a.Fresh, Answer: dispatchAnswer(a)}
+	return node.TargetAnswered{Call: c.Call, Answer: dispatchAnswer(a)}
 }
 
 func failureOf(err error) dispatch.Failure {
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -159,11 +159,8 @@
 	if err != nil {
 		return Answer{}, errors.WithStack(&NotSentError{Cause: err})
 	}
-	var connected, fresh atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connected.Store(true)
-		fresh.Store(!info.Reused)
-	}}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), call, body)
 	if err != nil {
 		return Answer{}, errors.WithStack(&NotSentError{Cause: err})
@@ -185,9 +182,7 @@
 	if err != nil {
 		return Answer{}, lost(ctx, err)
 	}
-	a, err := parseAnswer(resp.StatusCode, data)
-	a.Fresh = fresh.Load()
-	return a, err
+	return parseAnswer(resp.StatusCode, data)
 }
 
 // Cancel asks a target to give up the call with this id. The call itself then
--- a/io/target/wire.go
+++ b/io/target/wire.go
@@ -72,6 +72,4 @@
 	Status       CallStatus          `json:"status,omitempty"`
 	RetryAfterMS clock.Duration      `json:"retryAfterMs,omitempty"`
 	Items        []ItemAnswer        `json:"items,omitempty"`
-	// Fresh is set when the call opened a new connection.
-	Fresh bool `json:"-"`
 }
