--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -47,11 +47,29 @@
 	}
 	s := &search{call: e.Call, seq: n.seq, collection: e.Collection, fingerprint: request.Fingerprint, config: n.log.Number(), budget: e.Deadline.Sub(now)}
 	snapshots := n.log.State().Snapshots(e.Collection)
-	s.query = query.New(id, request, snapshots, router{n}, query.WithDelays(n.delays), query.WithKnownGood(known{n}))
+	s.query = query.New(id, request, snapshots, router{n}, query.WithDelays(n.replyDelays()), query.WithKnownGood(known{n}))
 	n.searches[s.seq], n.bySearch[s.call] = s, s
 	n.query(now, s, s.query.Start(now))
 }
 
+// neverLate keeps queries from trying the other holder because a reply is late.
+type neverLate struct{}
+
+// Observe implements query.Delays.
+func (neverLate) Observe(topology.ServiceID, clock.Duration) {}
+
+// FailoverAfter implements query.Delays.
+func (neverLate) FailoverAfter(topology.ServiceID) (clock.Duration, bool) { return clock.Hour, true }
+
+// replyDelays returns what tells queries when a reply is late. A second attempt at
+// the other holder is a hedge too.
+func (n *Node) replyDelays() query.Delays {
+	if !n.opts.hedging {
+		return neverLate{}
+	}
+	return n.delays
+}
+
 // admitSearch returns an empty Refusal when the query may start.
 func (n *Node) admitSearch(now clock.Time, e SearchArrived) (Refusal, clock.Duration) {
 	if refusal, retryAfter := n.admitCaller(now, e.Tenant, e.Collection); refusal != "" {
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -31,9 +32,12 @@
 		}
 	}
 	const rate = 100
-	third := o.DurationMS / 3
+	leaves, returns := o.DurationMS/4, o.DurationMS*3/4
+	if seen := (returns - leaves).Std() - zoneOutBound; seen < time.Second {
+		return &DurationError{DurationMS: o.DurationMS, Need: "the zone must be out for at least 1 s after its bound of 3 s: at least 8,000 ms"}
+	}
 	result, err := at(ctx, t, o.plan("zone out and back", t, rate),
-		step{third, change("out", &out)}, step{2 * third, change("in", &back)})
+		step{leaves, change("out", &out)}, step{returns, change("in", &back)})
 	if err != nil {
 		return err
 	}
@@ -51,18 +55,35 @@
 	}
 	r.judge("calls to the zone later than 3 s after it was taken out", "calls", float64(late), "0", late == 0)
 	r.judge("work after the zone is back", "calls", float64(callsSince(t, target.Selector{Zone: id}, back)), "over 0", callsSince(t, target.Selector{Zone: id}, back) > 0)
-	addPhases(r, result, third)
+	addPhases(r, result, leaves, returns, "before", "out", "back")
 	counts := t.Targets.Counts()
 	r.judge("calls over what targets bear", "calls", float64(counts.OverLimit), "0", counts.OverLimit == 0)
 	return nil
 }
 
-// addPhases adds the figures of the three thirds of a run.
-func addPhases(r *Report, result *load.Result, third clock.Duration) {
-	names := []string{"before", "out", "back"}
+// DurationError says that a run is too short to show anything.
+type DurationError struct {
+	DurationMS clock.Duration
+	Need       string
+}
+
+// Error implements error.
+func (e *DurationError) Error() string {
+	return fmt.Sprintf("a run of %d ms is too short: %s", e.DurationMS, e.Need)
+}
+
+// addPhases adds the figures of the three phases of a run, which end at first,
+// at second and with the run.
+func addPhases(r *Report, result *load.Result, first, second clock.Duration, names ...string) {
 	worst, coverage := make([]float64, 3), []float64{1, 1, 1}
 	for _, p := range result.Series {
-		i := min(int(p.FromMS/float64(third)), 2)
+		i := 0
+		if p.FromMS >= float64(first) {
+			i++
+		}
+		if p.FromMS >= float64(second) {
+			i++
+		}
 		worst[i] = max(worst[i], p.Summary.LatencyMS.P99)
 		if p.Summary.Answered > 0 {
 			coverage[i] = min(coverage[i], p.Summary.OfferedCoverage)
@@ -103,7 +124,7 @@
 	counts := t.Targets.Counts()
 	r.judge("calls over what a cold target bears", "calls", float64(counts.OverLimitCold), "0", counts.OverLimitCold == 0)
 	r.judge("calls over what targets bear", "calls", float64(counts.OverLimit), "0", counts.OverLimit == 0)
-	addPhases(r, result, o.DurationMS/3)
+	addPhases(r, result, o.DurationMS/3, o.DurationMS*2/3, "first third", "second third", "last third")
 	return nil
 }
 
@@ -129,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	addPhases(r, result, third)
+	addPhases(r, result, third, 2*third, "before", "silent", "last third")
 	r.add("time until answers are complete again", "ms", recovery(result, third))
 	return nil
 }
@@ -213,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	addPhases(r, result, third)
+	addPhases(r, result, third, 2*third, "before", "after the stop", "after the kill")
 	counts := t.Targets.Counts()
 	r.judge("calls over what targets bear", "calls", float64(counts.OverLimit), "0", counts.OverLimit == 0)
 	return nil
