--- /dev/null
+++ b/core/node/bench_path_test.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"testing"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/dispatch"
+	"knapweedstall/core/message"
+	"knapweedstall/core/topology"
+)
+
+// one returns the first node of a fleet of the given size.
+func one(s fleetSize) *fakeNode { return newFakeFleet(s, 1).nodes[0] }
+
+// BenchmarkNodeMemory reports the heap of one idle node.
+func BenchmarkNodeMemory(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			var before, after runtime.MemStats
+			const nodes = 4
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				var all []*fakeNode
+				for range nodes {
+					all = append(all, one(s)) // each with a configuration and a table of its own
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(all)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/nodes/1000, "KB/node")
+		})
+	}
+}
+
+// BenchmarkTick measures the regular input; it comes 20 times a second.
+func BenchmarkTick(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			n, now := one(s), simStart
+			for b.Loop() {
+				now += clock.Time(TickPeriod)
+				n.Handle(now, Tick{UnixMS: int64(now)})
+			}
+		})
+	}
+}
+
+// BenchmarkConfigChanged measures what a ticket costs after it is applied. It
+// reports nothing else; ticket.BenchmarkApply measures the applying.
+func BenchmarkConfigChanged(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(fmt.Sprintf("%s/servers=%d", s, 2*s.services), func(b *testing.B) {
+			n := one(s)
+			for b.Loop() {
+				n.out = nil
+				n.configChanged(simStart)
+			}
+		})
+	}
+}
+
+// BenchmarkBucketSeen measures the adoption of a changed bucket of the holder
+// table, and reports the size of the bucket.
+func BenchmarkBucketSeen(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			n := one(s)
+			const key = "holdings/region-0.0"
+			o := n.spread.buckets[key]
+			version := o.Version
+			for b.Loop() {
+				n.out = nil
+				version++
+				n.bucketSeen(simStart, key, version, o.Value)
+			}
+			b.ReportMetric(float64(len(o.Value)), "bucket-B")
+		})
+	}
+}
+
+// BenchmarkMembersChanged measures the check for changes that every tick and
+// every gossip message makes.
+func BenchmarkMembersChanged(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			n := one(s)
+			for b.Loop() {
+				n.out = nil
+				n.membersChanged(simStart)
+			}
+		})
+	}
+}
+
+// BenchmarkRoute measures the choice of the holder for one sub-request.
+func BenchmarkRoute(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			n := one(s)
+			service := fakeService(0).ID
+			for b.Loop() {
+				if _, ok := (router{n.Node}).Route(simStart, service, topology.InstanceRef{}); !ok {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkClaimWriter measures the choice of the writer of a claim.
+func BenchmarkClaimWriter(b *testing.B) {
+	for _, s := range fleetSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			n := one(s)
+			for b.Loop() {
+				n.claimWriter(simStart, 7, topology.InstanceRef{})
+			}
+		})
+	}
+}
+
+// BenchmarkEntry measures a whole query at its entry node, from the caller's
+// request to its answer, with 1 hit from each service.
+func BenchmarkEntry(b *testing.B) {
+	for _, services := range []int{20, 200, 750} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			n, now, call := one(fleetSize{690, services}), simStart, CallID(0)
+			n.opts.admission = false
+			b.ReportAllocs()
+			for b.Loop() {
+				now++
+				call++
+				n.members.StoreReplied(now)
+				arrived := SearchArrived{Call: call, Tenant: "acme", Collection: "col0", Query: "amber harbor", Limit: 10, Deadline: now + 55}
+				answered := n.search(now, arrived)
+				if answered == nil || answered.Answer.Coverage.Answered != services {
+					b.Fatalf("answer %+v", answered)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*services), "ns/sub-request")
+		})
+	}
+}
+
+// search answers all sub-requests of a query at once.
+func (n *fakeNode) search(now clock.Time, e SearchArrived) *AnswerSearch {
+	commands := n.Handle(now, e)
+	for len(commands) > 0 {
+		var next []Command
+		for _, c := range commands {
+			switch c := c.(type) {
+			case AnswerSearch:
+				return &c
+			case SendPeer:
+				if sub, ok := c.Body.(message.SubRequest); ok {
+					next = append(next, n.Handle(now, PeerReceived{From: c.To.Ref, Bodies: []message.Body{reply(sub)}})...)
+				}
+			case CallTarget:
+				next = append(next, n.Handle(now, TargetAnswered{Call: c.Call, Answer: targetAnswer(c)})...)
+			}
+		}
+		commands = next
+	}
+	return nil
+}
+
+func reply(sub message.SubRequest) message.SubReply {
+	r := message.SubReply{ID: sub.ID, Tenant: sub.Tenant, Snapshot: sub.Snapshot, Status: message.StatusOK}
+	for _, shard := range sub.Shards {
+		r.Shards = append(r.Shards, message.ShardAnswer{Shard: shard, Hits: []message.Hit{{ID: string(shard), Score: 1}}})
+	}
+	return r
+}
+
+// BenchmarkHolder measures one sub-request at its holder node, from the peer's
+// frame to the reply, with the given number in one frame.
+func BenchmarkHolder(b *testing.B) {
+	for _, bodies := range []int{1, 8, 32} {
+		b.Run(fmt.Sprintf("bodies=%d", bodies), func(b *testing.B) {
+			n, now, seq := one(fleetSize{690, 1950}), simStart, uint64(0)
+			service := slices.Sorted(maps.Keys(n.held))[0]
+			entry := fakeMember(1).Ref
+			shard := n.log.State().Snapshots("col0")[0].Shards[service]
+			b.ReportAllocs()
+			for b.Loop() {
+				now++
+				n.keepRight(now, service)
+				e := PeerReceived{From: entry}
+				for range bodies {
+					seq++
+					id := message.SubID{Request: message.RequestID{Entry: entry, Seq: seq}, Service: service}
+					e.Bodies = append(e.Bodies, message.SubRequest{ID: id, Kind: message.KindSearch, Tenant: "acme", Collection: "col0", Snapshot: "s1", Shards: shard, Query: "amber harbor", Limit: 10, RemainingMS: 55})
+				}
+				if got := n.serve(now, n.Handle(now, e)); got != bodies {
+					b.Fatalf("%d replies of %d", got, bodies)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*bodies), "ns/sub-request")
+			b.ReportMetric(float64(n.stats.TargetItems)/float64(n.stats.TargetCalls), "items/call")
+		})
+	}
+}
+
+// keepRight lets the service's other holder vouch.
+func (n *fakeNode) keepRight(now clock.Time, service topology.ServiceID) {
+	e, _ := n.holder.Holders(service)
+	partner := e.Holders[0]
+	if partner == n.self.Ref {
+		partner = e.Holders[1]
+	}
+	n.holder.Receive(now, partner, message.Vouch{RequestedAt: now, Echo: now, Shared: []message.SharedHolding{{Service: service, Epoch: e.Epoch}}})
+}
+
+// serve answers the calls among the commands and those that follow, and returns
+// the number of good replies.
+func (n *fakeNode) serve(now clock.Time, commands []Command) int {
+	replies := 0
+	for len(commands) > 0 {
+		c := commands[0]
+		commands = commands[1:]
+		switch c := c.(type) {
+		case CallTarget:
+			commands = append(commands, n.Handle(now, TargetAnswered{Call: c.Call, Answer: targetAnswer(c)})...)
+		case SendPeer:
+			if r, ok := c.Body.(message.SubReply); ok && r.Status == message.StatusOK {
+				replies++
+			}
+		}
+	}
+	return replies
+}
+
+func targetAnswer(c CallTarget) dispatch.Answer {
+	a := dispatch.Answer{State: message.TargetWarm, Bears: 2, Status: dispatch.AnswerOK}
+	for _, item := range c.Items {
+		answer := dispatch.ItemAnswer{ID: item.ID, Tenant: item.Tenant, Snapshot: c.Snapshot, Status: dispatch.ItemOK}
+		for _, shard := range item.Shards {
+			answer.Shards = append(answer.Shards, message.ShardAnswer{Shard: shard, Hits: []message.Hit{{ID: string(shard), Score: 1}}})
+		}
+		a.Items = append(a.Items, answer)
+	}
+	return a
+}
--- /dev/null
+++ b/emulator/target/faults_test.go
@@ -0,0 +1,236 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/message"
+)
+
+// Guards against a crash that answers, spares other calls, or comes back warm.
+func TestCrashTextDropsConnections(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = endlessMS }).servers[0]
+	other, _ := hold(t, s)
+	if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber !crash")); got.code != 0 {
+		t.Errorf("got %+v", got)
+	}
+	if got := <-other; got.code != 0 {
+		t.Errorf("the other call got %+v", got)
+	}
+	eventually(t, "restarted cold", func() bool { return s.State().State == message.TargetCold })
+}
+
+// Guards against a call from before a crash that counts as load on the
+// restarted server, which would show an overload that no client caused.
+func TestCallsFromBeforeACrashDoNotCount(t *testing.T) {
+	s := testFleet(t, nil).servers[0]
+	old := httptest.NewRequest(http.MethodPost, pathSearch, nil)
+	old = old.WithContext(withConn(old.Context(), &conn{life: s.life}))
+	s.Crash()
+	eventually(t, "restarted", func() bool { return s.State().State == message.TargetCold })
+	if a := s.arrive(pathSearch, search(s, "amber"), old); a.outcome != OutcomeDown || running(s) != 0 {
+		t.Errorf("outcome %s with %d running", a.outcome, running(s))
+	}
+}
+
+// Guards against a stop that leaves the port open, and a start elsewhere.
+func TestStopAndStartKeepTheAddress(t *testing.T) {
+	s, client := testFleet(t, nil).servers[0], newClient(t)
+	before := s.Address()
+	s.Stop()
+	if got := post(context.Background(), client, s, pathSearch, search(s, "amber")); got.code != 0 {
+		t.Errorf("stopped, but got %+v", got)
+	}
+	if err := s.Start(); err != nil || s.Address() != before {
+		t.Fatalf("address %s, error %v", s.Address(), err)
+	}
+	if got := post(context.Background(), client, s, pathSearch, search(s, "amber")); got.Reply.State != message.TargetCold {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// Guards against silence that also stops new connections, or that ends by
+// itself.
+func TestSilentConnections(t *testing.T) {
+	s, client := testFleet(t, nil).servers[0], newClient(t)
+	send := func(c *http.Client) reply {
+		ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+		defer cancel()
+		return post(ctx, c, s, pathSearch, search(s, "amber"))
+	}
+	send(client) // opens the connection
+	_ = s.SetFaults(Faults{Silence: SilenceOpen})
+	if got := send(client); got.code != 0 {
+		t.Errorf("silent connection answered %+v", got)
+	}
+	if got := send(newClient(t)); got.code != http.StatusOK {
+		t.Errorf("new connection got %+v", got)
+	}
+	_ = s.SetFaults(Faults{Silence: SilenceAll})
+	if got := send(newClient(t)); got.code != 0 {
+		t.Errorf("silent server answered %+v", got)
+	}
+	if c := s.Ledger().Counts(); c.Calls != 2 {
+		t.Errorf("silent connections delivered calls: %+v", c)
+	}
+}
+
+// Guards against work that goes on after its client left or its deadline.
+func TestCancelAndDeadlineFreeTheSlot(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.Timing.BaseMS = endlessMS }).servers[0]
+	_, cancel := hold(t, s)
+	cancel()
+	eventually(t, "cancelled", func() bool { return running(s) == 0 })
+	got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber"), HeaderDeadline, unixMS(50*time.Millisecond))
+	if got.code != http.StatusGatewayTimeout || got.Refusal.Status != StatusDeadline || running(s) != 0 {
+		t.Errorf("got %+v with %d running", got, running(s))
+	}
+	want := map[Outcome]int64{OutcomeCancelled: 1, OutcomeDeadline: 1}
+	if diff := cmp.Diff(want, s.Ledger().Counts().Outcomes); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a ledger that misses a repeated run or one whose reply was lost.
+func TestRunsAreCounted(t *testing.T) {
+	f := testFleet(t, nil)
+	r := Request{Items: []Item{{ID: "k1", Tenant: "acme", Query: "book 7"}}}
+	got := post(context.Background(), newClient(t), f.servers[0], pathRun, r)
+	if hits := got.Reply.Items[0].Shards[0].Hits; hits[0].ID != Receipt("k1", "book 7") || hits[0].Text != "book 7" {
+		t.Errorf("receipt %+v", hits)
+	}
+	_ = f.servers[1].SetFaults(Faults{LoseReplyRate: 1})
+	if got := post(context.Background(), newClient(t), f.servers[1], pathRun, r); got.code != 0 {
+		t.Errorf("lost reply arrived: %+v", got)
+	}
+	if diff := cmp.Diff(map[RunKey]int{{"acme", "k1", "book 7"}: 2}, f.Runs()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a health endpoint that tells the truth when it should not.
+func TestHealthLagsAndLies(t *testing.T) {
+	s, client := testFleet(t, nil).servers[0], newClient(t)
+	health := func() Health {
+		var h Health
+		resp, err := client.Get("http://" + s.Address() + "/v1/health")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_ = json.NewDecoder(resp.Body).Decode(&h)
+		return h
+	}
+	_ = s.SetFaults(Faults{Draining: true, HealthLagMS: 60_000})
+	if got := health(); got != (Health{message.TargetWarm, 2}) {
+		t.Errorf("lagging health is %+v", got)
+	}
+	_ = s.SetFaults(Faults{Draining: true})
+	if got := health(); got.State != message.TargetDraining {
+		t.Errorf("current health is %+v", got)
+	}
+	_ = s.SetFaults(Faults{HealthState: message.TargetCold, HealthBears: 9})
+	if got := health(); got != (Health{message.TargetCold, 9}) {
+		t.Errorf("lying health is %+v", got)
+	}
+}
+
+// Guards against connections accepted over the limit, and connections or calls
+// that cost no time although they should.
+func TestConnectionLimitAndDelays(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.ConnectMS, c.NetworkMS, c.Target.Connections = 20, 10, 2 }).servers[0]
+	client, start := newClient(t), time.Now()
+	post(context.Background(), client, s, pathSearch, search(s, "amber"))
+	if d := time.Since(start); d < 41*time.Millisecond {
+		t.Errorf("first call took %v, want 20 ms to connect, 2 x 10 ms network and 1 ms service", d)
+	}
+	post(context.Background(), newClient(t), s, pathSearch, search(s, "amber"))
+	if got := post(context.Background(), newClient(t), s, pathSearch, search(s, "amber")); got.code != 0 {
+		t.Errorf("third connection was accepted: %+v", got)
+	}
+}
+
+// Guards against a service-time distribution without its tail or costs. With
+// 20,000 draws the share of slow calls has a standard error of 0.0007.
+func TestTiming(t *testing.T) {
+	timing := Timing{BaseMS: 3, ItemMS: 1, Sigma: 0.1, SlowShare: 0.01, SlowFactor: 20}
+	r := rand.New(rand.NewPCG(1, 2))
+	slow := 0
+	for range 20_000 {
+		if d := timing.Draw(r, 2); d > 40*time.Millisecond {
+			slow++
+		}
+	}
+	if share := float64(slow) / 20_000; share < 0.006 || share > 0.014 {
+		t.Errorf("slow share %v, want 0.01", share)
+	}
+	if d := (Timing{BaseMS: 3, ItemMS: 1}).Draw(r, 2); d != 5*time.Millisecond {
+		t.Errorf("constant draw %v, want 5ms", d)
+	}
+}
+
+// Guards against control requests that reach the wrong servers or accept
+// invalid faults.
+func TestControl(t *testing.T) {
+	f := testFleet(t, nil)
+	control := f.Control()
+	do := func(method, url, body string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(method, url, bytes.NewBufferString(body))
+		r.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		control.ServeHTTP(w, r)
+		return w
+	}
+	if w := do("PUT", "/faults?zone=macon-yard", `{"draining":true}`); w.Code != http.StatusNoContent {
+		t.Fatalf("PUT /faults: %d %s", w.Code, w.Body)
+	}
+	for _, s := range f.servers {
+		if got := s.Faults().Draining; got != (s.config.Target.Zone == "macon-yard") {
+			t.Errorf("%s in %s: draining %t", s.config.Target.ID, s.config.Target.Zone, got)
+		}
+	}
+	if w := do("PUT", "/faults", `{"loseReplyRate":2}`); w.Code != http.StatusBadRequest {
+		t.Errorf("invalid faults: %d", w.Code)
+	}
+	if w := do("PUT", "/faults?target=nobody", `{}`); w.Code != http.StatusNotFound {
+		t.Errorf("unknown target: %d", w.Code)
+	}
+	if w := do("POST", "/stop?target="+string(f.servers[0].config.Target.ID), ""); w.Code != http.StatusNoContent || f.servers[0].State().State != message.TargetUnknown {
+		t.Errorf("stop: %d, %+v", w.Code, f.servers[0].State())
+	}
+	if w := do("PUT", "/snapshots/dockdesk", `{"id":"dockdesk@9"}`); w.Code != http.StatusNoContent || f.servers[0].Snapshots()[0] != "dockdesk@9" {
+		t.Errorf("snapshot: %d", w.Code)
+	}
+}
+
+// Guards against a cancellation that leaves the caller without proof that the
+// call has ended.
+func TestCancelAnswersTheCall(t *testing.T) {
+	s := testFleet(t, func(c *Config) { c.Timing = Timing{BaseMS: 5000} }).servers[0]
+	done := make(chan reply, 1)
+	client := newClient(t)
+	go func() {
+		done <- post(context.Background(), client, s, pathSearch, search(s, "amber"), HeaderCall, "c1")
+	}()
+	eventually(t, "the call runs", func() bool { return running(s) == 1 })
+	post(context.Background(), client, s, pathCancel, Request{}, HeaderCall, "c1")
+	select {
+	case got := <-done:
+		if got.code != http.StatusServiceUnavailable || got.Refusal.Status != StatusCancelled {
+			t.Errorf("got status %d %q, want 503 %q", got.code, got.Refusal.Status, StatusCancelled)
+		}
+	case <-time.After(patience):
+		t.Fatal("the call was not cancelled")
+	}
+	if n := running(s); n != 0 {
+		t.Errorf("%d calls run after the cancellation, want 0", n)
+	}
+}
