Keep one copy of the longest target work, the slot formula and the call count

Change: message.MaxTargetWork, allowance.Slots, claim.Partition and Fleet.CallsSince serve all of them, and an unknown selection is an error. A query's fingerprint is computed once instead of twice, and the two ends of a target call share their lookup.

--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -19,9 +19,6 @@
 const EndMargin = 20 * clock.Millisecond
 
 const (
-	// maxTargetWork bounds the time that a call may take at a target. Transfers
-	// of shares wait for it.
-	maxTargetWork = 2000 * clock.Millisecond
 	// startTerm is how late a target may still start a call, so that a call
 	// released after a pause is refused.
 	startTerm = 500 * clock.Millisecond
--- a/core/holding/exchange.go
+++ b/core/holding/exchange.go
@@ -238,7 +238,7 @@
 func vouchEnd(now clock.Time, a message.EntryAck, ref topology.InstanceRef) clock.Time {
 	for _, v := range a.Vouched {
 		if v.Ref == ref {
-			return now.Add(withDrift(vouchTerm+maxTargetWork) - v.AgeMS)
+			return now.Add(withDrift(vouchTerm+message.MaxTargetWork) - v.AgeMS)
 		}
 	}
 	return now
--- a/core/holding/oracle_test.go
+++ b/core/holding/oracle_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 
+	"knapweedstall/core/allowance"
+	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
 )
 
@@ -74,7 +76,7 @@
 					u := &n.uses[i][share][p]
 					u.usable, u.exempt = pr.cold && cold[share] || !pr.cold && warm[share], exempt
 					if u.usable {
-						u.start(n, Slots(share, pr.index, pr.limit))
+						u.start(n, allowance.Slots(share, pr.index, pr.limit))
 					}
 				}
 			}
@@ -87,7 +89,7 @@
 	for len(u.calls) < slots {
 		d := 20 + n.w.rng.Int64N(400)
 		if n.w.rng.IntN(3) == 0 {
-			d = int64(float64(maxTargetWork) / n.rate)
+			d = int64(float64(message.MaxTargetWork) / n.rate)
 		}
 		u.calls = append(u.calls, call{n.w.now + d, u.exempt})
 	}
@@ -113,7 +115,7 @@
 					}
 					slots := 0
 					if u.usable {
-						slots = Slots(share, pr.index, pr.limit)
+						slots = allowance.Slots(share, pr.index, pr.limit)
 					}
 					all += max(slots, len(u.calls))
 					if !u.exempt {
--- a/core/holding/planner_test.go
+++ b/core/holding/planner_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"knapweedstall/core/allowance"
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
@@ -15,12 +16,12 @@
 func TestSlotsSplitTheLimit(t *testing.T) {
 	for limit := range 6 {
 		for target := range 4 {
-			if sum := Slots(0, target, limit) + Slots(1, target, limit); sum != limit {
+			if sum := allowance.Slots(0, target, limit) + allowance.Slots(1, target, limit); sum != limit {
 				t.Errorf("limit %d, target %d: shares have %d slots", limit, target, sum)
 			}
 		}
 	}
-	if Slots(0, 0, 1) != 1 || Slots(1, 1, 1) != 1 {
+	if allowance.Slots(0, 0, 1) != 1 || allowance.Slots(1, 1, 1) != 1 {
 		t.Error("cold targets do not alternate between the shares")
 	}
 }
--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -67,16 +67,6 @@
 	return "holdings/" + string(region) + "." + strconv.FormatUint(n, 10)
 }
 
-// Slots returns how many of a target's limit concurrent calls belong to the
-// share, where target is the target's index within its service.
-func Slots(share, target, limit int) int {
-	n := limit / 2
-	if limit%2 == 1 && target%2 == share {
-		n++
-	}
-	return n
-}
-
 // replace returns the entry at its next epoch with ref as the holder of share k.
 // The earlier holder joins the former ones.
 func replace(e Entry, k int, ref topology.InstanceRef) Entry {
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -7,6 +7,10 @@
 	"knapweedstall/core/topology"
 )
 
+// MaxTargetWork is the longest time that a call may be at work at a target. Shares
+// change hands only after it, so the deadlines of requests may not exceed it.
+const MaxTargetWork = 2000 * clock.Millisecond
+
 // RequestID names one caller request across the tier.
 type RequestID struct {
 	Entry topology.InstanceRef `cbor:"1,keyasint" json:"entry"`
--- a/core/node/entry.go
+++ b/core/node/entry.go
@@ -34,7 +34,8 @@
 // searchArrived admits or refuses a query and starts it.
 func (n *Node) searchArrived(now clock.Time, e SearchArrived) {
 	n.stats.Searches++
-	refusal, retryAfter := n.admitSearch(now, e)
+	f := quarantine.Fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query)
+	refusal, retryAfter := n.admitSearch(now, e, f)
 	if refusal != "" {
 		n.refuse(e.Call, refusal, retryAfter)
 		return
@@ -43,9 +44,9 @@
 	id := message.RequestID{Entry: n.self.Ref, Seq: n.seq}
 	request := query.Request{
 		Tenant: e.Tenant, Collection: e.Collection, Query: e.Query, Limit: e.Limit, Deadline: e.Deadline,
-		Fingerprint: quarantine.Fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query),
+		Fingerprint: f,
 	}
-	s := &search{call: e.Call, seq: n.seq, collection: e.Collection, fingerprint: request.Fingerprint, config: n.log.Number(), budget: e.Deadline.Sub(now)}
+	s := &search{call: e.Call, seq: n.seq, collection: e.Collection, fingerprint: f, config: n.log.Number(), budget: e.Deadline.Sub(now)}
 	snapshots := n.log.State().Snapshots(e.Collection)
 	s.query = query.New(id, request, snapshots, router{n}, query.WithDelays(n.replyDelays()), query.WithKnownGood(known{n}))
 	n.searches[s.seq], n.bySearch[s.call] = s, s
@@ -71,14 +72,14 @@
 }
 
 // admitSearch returns an empty Refusal when the query may start.
-func (n *Node) admitSearch(now clock.Time, e SearchArrived) (Refusal, clock.Duration) {
+func (n *Node) admitSearch(now clock.Time, e SearchArrived, f message.Fingerprint) (Refusal, clock.Duration) {
 	if refusal, retryAfter := n.admitCaller(now, e.Tenant, e.Collection); refusal != "" {
 		return refusal, retryAfter
 	}
 	if len(n.log.State().Snapshots(e.Collection)) == 0 {
 		return RefusedUnavailable, noSnapshot
 	}
-	if retryAfter, quarantined := n.quarantined(now, quarantine.Fingerprint(e.Tenant, e.Collection, message.KindSearch, e.Query)); quarantined {
+	if retryAfter, quarantined := n.quarantined(now, f); quarantined {
 		return RefusedQuarantined, retryAfter
 	}
 	if n.opts.admission {
--- a/core/node/held.go
+++ b/core/node/held.go
@@ -128,25 +128,27 @@
 }
 
 func (n *Node) targetAnswered(now clock.Time, e TargetAnswered) {
-	c, ok := n.calls[e.Call]
-	delete(n.calls, e.Call)
-	h := n.held[c.service]
-	if !ok || h == nil {
-		return
+	if h, id := n.endCall(e.Call); h != nil {
+		n.dispatch(h, h.service.Answered(now, id, e.Answer))
 	}
-	delete(h.calls, c.call)
-	n.dispatch(h, h.service.Answered(now, c.call, e.Answer))
 }
 
 func (n *Node) targetFailed(now clock.Time, e TargetFailed) {
-	c, ok := n.calls[e.Call]
-	delete(n.calls, e.Call)
+	if h, id := n.endCall(e.Call); h != nil {
+		n.dispatch(h, h.service.Failed(now, id, e.Failure))
+	}
+}
+
+// endCall forgets a call to a target. It returns nil when nothing waits for it.
+func (n *Node) endCall(call TargetCallID) (*held, dispatch.CallID) {
+	c, ok := n.calls[call]
+	delete(n.calls, call)
 	h := n.held[c.service]
 	if !ok || h == nil {
-		return
+		return nil, 0
 	}
 	delete(h.calls, c.call)
-	n.dispatch(h, h.service.Failed(now, c.call, e.Failure))
+	return h, c.call
 }
 
 // targetConnection notes that a target may have restarted: its first connection
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -100,7 +100,7 @@
 }
 
 func partitionOf(r message.RunRequest) uint32 {
-	return uint32(topology.Hash64(string(r.Tenant), string(r.Key)) % claimPartitions)
+	return claim.Partition(claim.ID{Tenant: r.Tenant, Key: r.Key}, claimPartitions)
 }
 
 // claimWriter names the live member that writes the journal of a partition.
--- a/core/quarantine/keeper.go
+++ b/core/quarantine/keeper.go
@@ -15,8 +15,6 @@
 	// ackTimeout is how long an acknowledgement is awaited before it is asked
 	// for again.
 	ackTimeout = 100 * clock.Millisecond
-	// maxCanary is the longest time that a canary may run.
-	maxCanary = 2 * clock.Second
 	// doneGrace is how long the result of a canary is awaited after its
 	// deadline; then it counts as a crash.
 	doneGrace = 500 * clock.Millisecond
@@ -24,7 +22,7 @@
 	// that paused for longer announces again.
 	startTerm = 500 * clock.Millisecond
 	// openTerm is how long an announced canary may be under way: startTerm,
-	// then maxCanary, and a margin for clocks that differ.
+	// then message.MaxTargetWork, and a margin for clocks that differ.
 	openTerm = 3 * clock.Second
 	// unseenTerm is the same for an instance that was never a known member. It
 	// may have just started, since member lists lag.
--- a/core/quarantine/notice.go
+++ b/core/quarantine/notice.go
@@ -104,7 +104,7 @@
 		l.queue = append([]waiting{l.current}, l.queue...)
 		return append(out, k.step(now, fp)...)
 	}
-	deadline := min(l.current.deadline, now.Add(maxCanary))
+	deadline := min(l.current.deadline, now.Add(message.MaxTargetWork))
 	l.phase = phaseRunning
 	l.timeout = deadline.Add(doneGrace)
 	sub := l.current.sub
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -171,7 +171,11 @@
 	if err := r.queries(); err != nil {
 		return err
 	}
-	r.expect(r.callsSince(zone, limit) == 0, "a zone taken out gets no new work after 3 s")
+	calls, err := r.tier.Targets.CallsSince(target.Selector{Zone: zone}, limit)
+	if err != nil {
+		return err
+	}
+	r.expect(calls == 0, "a zone taken out gets no new work after 3 s")
 	return nil
 }
 
@@ -187,7 +191,10 @@
 	if err := r.queriesFor(zoneOutLimit); err != nil {
 		return err
 	}
-	calls := r.callsSince(zone, before)
+	calls, err := r.tier.Targets.CallsSince(target.Selector{Zone: zone}, before)
+	if err != nil {
+		return err
+	}
 	r.say("%s got %d calls since", zone, calls)
 	r.expect(calls > 0, "a zone that is back gets work again")
 	return nil
@@ -198,23 +205,6 @@
 	return accepted.Number, err
 }
 
-// callsSince counts the calls that targets of the zone saw.
-func (r *run) callsSince(zone topology.ZoneID, since time.Time) int {
-	servers, err := r.tier.Targets.Select(target.Selector{Zone: zone})
-	if err != nil {
-		return 0
-	}
-	n := 0
-	for _, s := range servers {
-		for _, c := range s.Ledger().Calls() {
-			if c.Started.After(since) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // runOnce sends one request that may not be repeated through two instances.
 func (r *run) runOnce() error {
 	d := r.tier.Deployment
--- a/emulator/target/fleet.go
+++ b/emulator/target/fleet.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"time"
 
 	"knapweedstall/core/topology"
 )
@@ -186,6 +187,21 @@
 	return nil
 }
 
+// CallsSince counts the calls that the selected servers saw after since. It fails
+// with *UnknownTargetError when there are none.
+func (f *Fleet) CallsSince(sel Selector, since time.Time) (int, error) {
+	servers, err := f.Select(sel)
+	n := 0
+	for _, s := range servers {
+		for _, c := range s.ledger.Calls() {
+			if c.Started.After(since) {
+				n++
+			}
+		}
+	}
+	return n, err
+}
+
 // Counts returns the totals of all ledgers.
 func (f *Fleet) Counts() Counts { return countsOf(f.servers) }
 
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -8,7 +8,6 @@
 	"io"
 	"slices"
 	"text/tabwriter"
-	"time"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
@@ -195,20 +194,3 @@
 func timing(tm target.Timing) tier.Option {
 	return tier.WithFleet(target.WithConfig(func(_ topology.Collection, c *target.Config) { c.Timing = tm }))
 }
-
-// callsSince counts the calls that the selected targets started after since.
-func callsSince(t *tier.Tier, sel target.Selector, since time.Time) int {
-	servers, err := t.Targets.Select(sel)
-	if err != nil {
-		return 0
-	}
-	n := 0
-	for _, s := range servers {
-		for _, c := range s.Ledger().Calls() {
-			if c.Started.After(since) {
-				n++
-			}
-		}
-	}
-	return n
-}
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -54,7 +54,11 @@
 		}
 	}
 	r.judge("calls to the zone later than 3 s after it was taken out", "calls", float64(late), "0", late == 0)
-	r.judge("work after the zone is back", "calls", float64(callsSince(t, target.Selector{Zone: id}, back)), "over 0", callsSince(t, target.Selector{Zone: id}, back) > 0)
+	after, err := t.Targets.CallsSince(target.Selector{Zone: id}, back)
+	if err != nil {
+		return err
+	}
+	r.judge("work after the zone is back", "calls", float64(after), "over 0", after > 0)
 	addPhases(r, result, leaves, returns, "before", "out", "back")
 	counts := t.Targets.Counts()
 	r.judge("calls over what targets bear", "calls", float64(counts.OverLimit), "0", counts.OverLimit == 0)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
 )
 
@@ -34,7 +35,7 @@
 
 // DefaultLimits returns the limits of an empty settings file.
 func DefaultLimits() Limits {
-	return Limits{Concurrent: 4096, BodyBytes: 64 << 10, Hits: 1000, Deadline: 2 * clock.Second, DefaultDeadline: clock.Second}
+	return Limits{Concurrent: 4096, BodyBytes: 64 << 10, Hits: 1000, Deadline: message.MaxTargetWork, DefaultDeadline: clock.Second}
 }
 
 // Backend executes authenticated requests. Its methods fail with *Error.
--- a/settings/check.go
+++ b/settings/check.go
@@ -5,12 +5,9 @@
 	"net/netip"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
 )
 
-// maxTargetWork bounds the deadlines of requests: rights to use targets pass to
-// another instance only after the longest possible work in flight has ended.
-const maxTargetWork = 2 * clock.Second
-
 // minTokenBytes is the shortest token; shorter ones can be guessed.
 const minTokenBytes = 16
 
@@ -123,7 +120,7 @@
 	within(r, "limits.connections", l.Connections, 1, 1_000_000)
 	within(r, "limits.bodyBytes", l.BodyBytes, 1, 1<<20)
 	within(r, "limits.hits", l.Hits, 1, 1_000_000)
-	within(r, "limits.deadlineMs", l.DeadlineMS, 1, maxTargetWork)
+	within(r, "limits.deadlineMs", l.DeadlineMS, 1, message.MaxTargetWork)
 	within(r, "limits.peerMessageBytes", l.PeerMessageBytes, 1, 64<<20)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
 )
 
@@ -102,7 +103,7 @@
 			Connections:      8192,
 			BodyBytes:        64 << 10,
 			Hits:             1000,
-			DeadlineMS:       maxTargetWork,
+			DeadlineMS:       message.MaxTargetWork,
 			PeerMessageBytes: 4 << 20,
 		},
 		Timeouts: Timeouts{
