Watch the store from one instance in each zone

Each instance watched three kinds with waits of 6 s. A watch now waits at most the catch-up time less 1 s, and only the first instance of a zone watches; the others follow it over WebSocket. SIGHUP, which ended the process, reloads the settings.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
 
 	"knapweedstall/core/clock"
@@ -50,8 +55,51 @@
 		return fail(exitFailure, err)
 	}
 	logger := newLogger(s.LogLevel).With("instance", string(s.Instance))
-	if err := gateway.New(s, clock.NewSystem(), logger).Serve(ctx); err != nil {
+	g := gateway.New(s, clock.NewSystem(), logger)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go c.reload(ctx, g, hup, logger)
+	if err := g.Serve(ctx); err != nil {
 		return fail(exitFailure, err)
 	}
 	return exitOK
 }
+
+// reloadPeriod is how often the settings file is looked at, since it may change
+// without a signal.
+const reloadPeriod = 5 * time.Second
+
+// reload puts the settings file in force at each SIGHUP and when it was changed.
+func (c *gatewayCommand) reload(ctx context.Context, g *gateway.Gateway, hup <-chan os.Signal, logger *log.Logger) {
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	last := modified(c.path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+			if modified(c.path) == last {
+				continue
+			}
+		}
+		last = modified(c.path)
+		s, err := settings.LoadGateway(c.path)
+		if err != nil {
+			logger.Error("settings not reloaded", "err", err)
+			continue
+		}
+		g.Reload(s)
+	}
+}
+
+// modified returns when the file was changed, or the zero time when it can't be
+// read; reading it then reports why.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -78,8 +79,13 @@
 	s.sharers, s.coldTurn = n, coldTurn
 }
 
-// SetEvacuated replaces the zones whose targets get nothing.
-func (s *Set) SetEvacuated(zones map[topology.ZoneID]bool) { s.evacuated = zones }
+// SetEvacuated replaces the zones whose targets get nothing. It reports whether
+// that is a change.
+func (s *Set) SetEvacuated(zones map[topology.ZoneID]bool) bool {
+	changed := !maps.Equal(s.evacuated, zones)
+	s.evacuated = zones
+	return changed
+}
 
 // List replaces the listing. A target that is missing stays as a last resort
 // for a short time. It returns the targets that are gone for good or were
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -1,10 +1,13 @@
 // Package view holds an instance's copy of kinds of objects of the platform's
 // store. Copies are ordered by the store's revision, so that an instance can
-// take the newer of two copies from any other instance.
+// bring its copy up to date from any other instance.
 package view
 
 import "maps"
 
+// maxGone bounds how many removed objects a copy remembers.
+const maxGone = 2048
+
 // Revision counts the changes of the store.
 type Revision int64
 
@@ -14,11 +17,13 @@
 	Spec     []byte   `cbor:"2,keyasint"` // as its writer encoded it
 }
 
-// Kind is a copy of all objects of one kind. It is not changed once it is
-// shared; Apply returns a new one.
+// Kind is a copy of all objects of one kind. It is never changed; its methods
+// return new copies.
 type Kind struct {
-	Revision Revision          `cbor:"1,keyasint"` // of the store when the copy was right; 0 for no copy
-	Objects  map[string]Object `cbor:"2,keyasint"` // by name
+	Revision Revision          // of the store when the copy was right; 0 for no copy
+	Objects  map[string]Object // by name
+	gone     map[string]Revision
+	floor    Revision // removals before it are not in gone
 }
 
 // Event is one change of an object.
@@ -28,31 +33,114 @@
 	Deleted bool
 }
 
-// Apply returns k after events, at revision at.
+// Listed returns the copy of a kind that the store has listed at revision at.
+func Listed(objects map[string]Object, at Revision) Kind {
+	return Kind{Revision: at, Objects: objects, floor: at}
+}
+
+// Apply returns k after events, at revision at. Both come from a watch that
+// began at k's revision or before.
 func (k Kind) Apply(events []Event, at Revision) Kind {
-	out := Kind{Revision: max(at, k.Revision), Objects: k.Objects}
+	out := k
+	out.Revision = max(at, k.Revision)
 	if len(events) == 0 {
 		return out
 	}
-	out.Objects = maps.Clone(k.Objects)
-	if out.Objects == nil {
-		out.Objects = map[string]Object{}
-	}
+	out.Objects, out.gone = clone(k.Objects), clone(k.gone)
 	for _, e := range events {
 		switch {
 		case e.Deleted:
 			delete(out.Objects, e.Name)
+			out.gone[e.Name] = out.Revision
 		case e.Object.Revision >= out.Objects[e.Name].Revision:
 			out.Objects[e.Name] = e.Object
+			delete(out.gone, e.Name)
+		}
+	}
+	return out.bounded()
+}
+
+// Replace returns the newer copy to, with what is needed to tell others the
+// difference.
+func (k Kind) Replace(to Kind) Kind {
+	if k.Revision == 0 {
+		return to
+	}
+	to.floor, to.gone = k.floor, clone(k.gone)
+	for name := range k.Objects {
+		if _, ok := to.Objects[name]; !ok {
+			to.gone[name] = to.Revision
+		}
+	}
+	for name := range to.Objects {
+		delete(to.gone, name)
+	}
+	return to.bounded()
+}
+
+func (k Kind) bounded() Kind {
+	if len(k.gone) > maxGone {
+		k.gone, k.floor = map[string]Revision{}, k.Revision
+	}
+	return k
+}
+
+// Delta is the difference between two copies of a kind.
+type Delta struct {
+	At      Revision          `cbor:"1,keyasint"` // revision of the newer copy
+	Whole   bool              `cbor:"2,keyasint"` // Objects holds all objects
+	Objects map[string]Object `cbor:"3,keyasint"` // new or changed
+	Gone    []string          `cbor:"4,keyasint"` // removed
+}
+
+// Since returns what changed after revision have.
+func (k Kind) Since(have Revision) Delta {
+	if have == 0 || have < k.floor {
+		return Delta{At: k.Revision, Whole: true, Objects: k.Objects}
+	}
+	d := Delta{At: k.Revision, Objects: map[string]Object{}}
+	for name, o := range k.Objects {
+		if o.Revision > have {
+			d.Objects[name] = o
+		}
+	}
+	for name, at := range k.gone {
+		if at > have {
+			d.Gone = append(d.Gone, name)
 		}
 	}
-	return out
+	return d
+}
+
+// Merge returns k brought up to date with d, which another instance made for
+// k's revision or an earlier one.
+func (k Kind) Merge(d Delta) Kind {
+	if d.At <= k.Revision {
+		return k
+	}
+	if d.Whole {
+		return k.Replace(Listed(d.Objects, d.At))
+	}
+	out := k
+	out.Revision = d.At
+	if len(d.Objects) == 0 && len(d.Gone) == 0 {
+		return out
+	}
+	out.Objects, out.gone = clone(k.Objects), clone(k.gone)
+	for name, o := range d.Objects {
+		out.Objects[name] = o
+		delete(out.gone, name)
+	}
+	for _, name := range d.Gone {
+		delete(out.Objects, name)
+		out.gone[name] = d.At
+	}
+	return out.bounded()
 }
 
-// Newer returns the newer of two copies.
-func Newer(a, b Kind) Kind {
-	if b.Revision > a.Revision {
-		return b
+func clone[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
 	}
-	return a
+	return maps.Clone(m)
 }
--- /dev/null
+++ b/gateway/apply.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/replica"
+	"knapweedstall/core/routing"
+	"knapweedstall/core/topology"
+	"knapweedstall/core/view"
+	"knapweedstall/platform"
+)
+
+// parsedListing remembers what an entry of the store says, so that it is not
+// parsed again until it changes.
+type parsedListing struct {
+	revision view.Revision
+	listing  replica.Listing
+	valid    bool
+}
+
+// apply puts a newer copy of a kind in force.
+func (g *Gateway) apply(kind string, k view.Kind) {
+	switch kind {
+	case platform.KindConfig:
+		g.applyConfig(k)
+	case platform.KindTargets:
+		g.applyTargets(k)
+	case platform.KindEvacuations:
+		g.applyEvacuations(k)
+	}
+}
+
+func (g *Gateway) applyConfig(k view.Kind) {
+	o, ok := k.Objects[platform.ConfigName]
+	if !ok {
+		return
+	}
+	c, err := platform.ParseConfig(o.Spec)
+	if err != nil {
+		g.log.Error("configuration ignored", "revision", o.Revision, "err", err)
+		return
+	}
+	g.mu.Lock()
+	had := routing.Version(0)
+	if g.table != nil {
+		had = g.table.Config.Version
+	}
+	if c.Version <= had {
+		g.mu.Unlock()
+		return
+	}
+	g.table = routing.NewTable(c)
+	named := map[routing.RouteName]bool{}
+	for i := range c.Routes {
+		named[c.Routes[i].Name] = true
+	}
+	for name := range g.estimates {
+		if !named[name] {
+			delete(g.estimates, name)
+		}
+	}
+	g.mu.Unlock()
+	g.callers.SetLimits(c.Limits)
+	g.log.Info("configuration in force", "version", c.Version, "before", had, "revision", o.Revision, "routes", len(c.Routes))
+}
+
+func (g *Gateway) applyTargets(k view.Kind) {
+	g.mu.Lock()
+	listings := make([]replica.Listing, 0, len(k.Objects))
+	for name, o := range k.Objects {
+		p, ok := g.listings[name]
+		if !ok || p.revision != o.Revision {
+			p = g.parseListing(name, o)
+			g.listings[name] = p
+		}
+		if p.valid {
+			listings = append(listings, p.listing)
+		}
+	}
+	for name := range g.listings {
+		if _, ok := k.Objects[name]; !ok {
+			delete(g.listings, name)
+		}
+	}
+	ended := g.targets.List(listings, g.clock.Now())
+	g.mu.Unlock()
+	g.pool.Forget(ended)
+	g.log.Debug("targets listed", "revision", k.Revision, "targets", len(listings))
+}
+
+func (g *Gateway) parseListing(name string, o view.Object) parsedListing {
+	l, err := platform.ParseListing(name, o.Spec)
+	if err != nil {
+		g.log.Warn("entry of a target ignored", "name", name, "revision", o.Revision, "err", err)
+	}
+	return parsedListing{revision: o.Revision, listing: l, valid: err == nil}
+}
+
+func (g *Gateway) applyEvacuations(k view.Kind) {
+	zones := map[topology.ZoneID]bool{}
+	for name := range k.Objects {
+		zones[topology.ZoneID(name)] = true
+	}
+	g.mu.Lock()
+	changed := g.targets.SetEvacuated(zones)
+	g.mu.Unlock()
+	if changed {
+		g.log.Info("evacuated zones", "revision", k.Revision, "zones", len(zones))
+	}
+}
+
+// jitter returns a duration around d, so that instances don't call together.
+func (g *Gateway) jitter(d clock.Duration) clock.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d/2 + clock.Duration(g.random.Int64N(int64(d)))
+}
+
+func sleep(ctx context.Context, d clock.Duration) {
+	timer := time.NewTimer(d.Std())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,8 +21,8 @@
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/topology"
-	"knapweedstall/core/view"
 	"knapweedstall/io/ingress"
+	"knapweedstall/io/relay"
 	"knapweedstall/io/upstream"
 	"knapweedstall/platform"
 	"knapweedstall/settings"
@@ -49,28 +49,27 @@
 	targets   *replica.Set
 	budget    *budget.Budget
 	estimates map[routing.RouteName]*fanout.Estimate
-	open      int // requests in progress
-	peers     []peer
+	open      int                      // requests in progress
+	peers     []peer                   // all known instances, this one included
+	seeds     []string                 // peer addresses from the settings
 	listings  map[string]parsedListing // of the store's entries, by name
 
-	// viewMu guards views, the copies of the store's kinds.
-	viewMu    sync.Mutex
-	views     map[string]view.Kind
-	confirmed clock.Time // when the configuration was last known to be the newest
+	views *views
 }
 
 // New returns a Gateway with the settings.
 func New(s settings.Gateway, c clock.Clock, logger *log.Logger) *Gateway {
 	g := &Gateway{
 		settings: s, clock: c, log: logger,
-		store:     platform.NewStore(s.Store),
+		store:     platform.NewStore(s.Store.Address),
 		pool:      upstream.NewPool(c),
 		draining:  make(chan struct{}),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		seeds:     s.Peers,
 		estimates: map[routing.RouteName]*fanout.Estimate{},
 		listings:  map[string]parsedListing{},
-		views:     map[string]view.Kind{},
 	}
+	g.views = newViews(c, g.apply)
 	g.targets = replica.NewSet(s.Zone, g.random)
 	g.budget = budget.New(budget.Terms{
 		Window: clock.Duration(s.Repeats.WindowSeconds) * clock.Second,
@@ -90,7 +89,7 @@
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET "+platform.ReadinessPath, g.serveReadiness)
 	peers := http.NewServeMux()
-	peers.HandleFunc("GET "+peerPath, g.servePeer)
+	peers.Handle("GET "+relay.Path, relay.NewServer(g.views, g.heartbeat(), waitChange))
 	for address, handler := range map[string]http.Handler{
 		g.settings.Listen.Readiness: readiness, g.settings.Listen.Peers: peers,
 	} {
@@ -101,9 +100,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.Listen.Callers)
-	for _, kind := range []string{platform.KindConfig, platform.KindTargets, platform.KindEvacuations} {
-		go g.follow(background, kind)
-	}
+	go g.keepCurrent(background)
 	go g.followInstances(background)
 	go g.sweep(background)
 	go func() {
@@ -116,6 +113,15 @@
 	return nil
 }
 
+// Reload puts new settings in force. Only the peers change while the process
+// runs; other fields take effect at the next start.
+func (g *Gateway) Reload(s settings.Gateway) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = s.Peers
+	g.log.Info("settings reloaded", "peers", len(s.Peers))
+}
+
 // serveInternal serves handler on address until the process ends.
 func serveInternal(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
@@ -164,6 +170,8 @@
 
 // peer is another instance.
 type peer struct {
-	id      topology.InstanceID
-	address string // of its peer endpoint
+	id       topology.InstanceID
+	zone     topology.ZoneID
+	address  string  // of its peer endpoint
+	capacity float64 // processor share
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -105,7 +105,7 @@
 
 // noRoute answers a request that no route takes.
 func (g *Gateway) noRoute(w http.ResponseWriter, r *http.Request) {
-	if age := g.configAge(); age > staleConfig {
+	if g.views.age() > staleConfig {
 		g.refuse(w, r, "unknown route, and the configuration may be out of date", retryOverload)
 		return
 	}
--- /dev/null
+++ b/gateway/sources.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+	"knapweedstall/core/view"
+	"knapweedstall/io/relay"
+	"knapweedstall/platform"
+)
+
+// One instance of each zone watches the store, and the others of the zone
+// follow it, because each call of the store has its price. The order of the
+// instances decides which one, without agreement: an instance follows the
+// first one before it that is up to date, and watches the store itself when
+// there is none. Two instances that watch cost calls, and nothing else.
+
+// Figures of the choice of a source.
+const (
+	maxCandidates = 3 // instances before this one that are tried
+	// candidateRest is how long an instance that was not up to date is not
+	// tried again.
+	candidateRest = 3 * clock.Second
+	// selfWatch is how long an instance watches the store until it looks for a
+	// source again.
+	selfWatch = 12 * clock.Second
+	// patience is how long an instance behind the candidates waits for one of
+	// them before it turns to the store; it keeps the store's calls few during
+	// an outage.
+	patience = 1500 * clock.Millisecond
+
+	listInstances = 15 * clock.Second // between two reads of the instances
+	firstListing  = clock.Second      // all instances of a new system register within this time
+)
+
+// keepCurrent keeps the copies up to date until ctx is done.
+func (g *Gateway) keepCurrent(ctx context.Context) {
+	g.readOnce(ctx)
+	g.firstInstances(ctx)
+	rests := map[string]clock.Time{} // until when candidates are not tried
+	for ctx.Err() == nil {
+		candidates, first := g.candidates()
+		if g.followAny(ctx, candidates, rests) {
+			continue
+		}
+		if !first && g.views.age() < patience {
+			sleep(ctx, g.jitter(firstTry))
+			continue
+		}
+		g.watchSelf(ctx, first)
+	}
+}
+
+// readOnce takes a first copy of each kind, from the store or another instance.
+func (g *Gateway) readOnce(ctx context.Context) {
+	for pause := firstTry; ctx.Err() == nil; pause = min(2*pause, lastTry) {
+		var err error
+		for _, kind := range followedKinds {
+			if g.views.kind(kind).Revision != 0 {
+				continue
+			}
+			if _, err = g.step(ctx, kind, true, true); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			g.log.Warn("store lost", "err", err)
+			g.syncFromPeer(ctx)
+		}
+		if g.views.complete() {
+			return
+		}
+		sleep(ctx, g.jitter(pause))
+	}
+}
+
+// followAny follows the first candidate that is up to date, as long as it is.
+// It returns false when there is none.
+func (g *Gateway) followAny(ctx context.Context, candidates []string, rests map[string]clock.Time) bool {
+	for _, address := range candidates {
+		if g.clock.Now().Before(rests[address]) {
+			continue
+		}
+		followed, err := g.followPeer(ctx, address)
+		if ctx.Err() != nil {
+			return true
+		}
+		rests[address] = g.clock.Now().Add(candidateRest)
+		if followed {
+			g.log.Info("source lost", "source", address, "err", err)
+			return true
+		}
+	}
+	return false
+}
+
+// followPeer follows another instance until it is silent, gone or no longer up
+// to date. followed says that it was up to date at first.
+func (g *Gateway) followPeer(ctx context.Context, address string) (followed bool, err error) {
+	err = relay.Follow(ctx, address, g.views.revisions(), g.silence(), func(f relay.Frame) bool {
+		g.views.take(f)
+		if f.Age > g.heartbeat() {
+			return false
+		}
+		if !followed {
+			followed = true
+			g.log.Info("following an instance", "source", address)
+		}
+		return true
+	})
+	return followed, err
+}
+
+// watchSelf watches the store. An instance that is not the first one looks for
+// a source again after a while.
+func (g *Gateway) watchSelf(ctx context.Context, first bool) {
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	g.log.Info("watching the store", "first", first)
+	timer := time.AfterFunc(g.jitter(selfWatch).Std(), stop)
+	defer timer.Stop()
+	g.followStore(watching)
+}
+
+// heartbeat is how often a source tells that it is there. Losing two of them
+// must be noticed well before a configuration is due everywhere.
+func (g *Gateway) heartbeat() clock.Duration { return g.settings.Store.ConfigDueMS / 5 }
+
+// silence is how long a source may be silent.
+func (g *Gateway) silence() clock.Duration { return g.heartbeat() * 5 / 2 }
+
+// candidates returns the peer addresses of the instances of the zone that come
+// before this one, the first first. first says that there are none.
+func (g *Gateway) candidates() (addresses []string, first bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	mine := peer{id: g.settings.Instance, zone: g.settings.Zone, capacity: g.settings.Capacity}
+	for _, p := range g.peers {
+		if p.zone == mine.zone && p.id != mine.id && comparePeers(p, mine) < 0 {
+			addresses = append(addresses, p.address)
+		}
+	}
+	first = len(addresses) == 0
+	return addresses[:min(len(addresses), maxCandidates)], first
+}
+
+// comparePeers orders instances: those with more capacity first, since sources
+// have more work.
+func comparePeers(a, b peer) int {
+	return cmp.Or(
+		cmp.Compare(b.capacity, a.capacity),
+		cmp.Compare(topology.Hash64(string(a.id)), topology.Hash64(string(b.id))),
+		cmp.Compare(a.id, b.id),
+	)
+}
+
+// syncFromPeer takes newer copies from one other instance.
+func (g *Gateway) syncFromPeer(ctx context.Context) {
+	address := g.somePeer()
+	if address == "" {
+		return
+	}
+	err := relay.Follow(ctx, address, g.views.revisions(), g.silence(), func(f relay.Frame) bool {
+		g.views.take(f)
+		return false
+	})
+	if err != nil {
+		g.log.Debug("instance not reached", "address", address, "err", err)
+	}
+}
+
+// somePeer returns the address of another instance, or "".
+func (g *Gateway) somePeer() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var addresses []string
+	for _, a := range g.seeds {
+		if a != g.settings.Listen.Peers {
+			addresses = append(addresses, a)
+		}
+	}
+	for _, p := range g.peers {
+		if p.id != g.settings.Instance {
+			addresses = append(addresses, p.address)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[g.random.IntN(len(addresses))]
+}
+
+// firstInstances registers the instance and reads the other ones once.
+func (g *Gateway) firstInstances(ctx context.Context) {
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		g.register(ctx)
+	}()
+	sleep(ctx, firstListing)
+	g.readInstances(ctx, false)
+}
+
+// followInstances reads the list of instances again and again.
+func (g *Gateway) followInstances(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, g.jitter(listInstances))
+		g.readInstances(ctx, true)
+	}
+}
+
+func (g *Gateway) readInstances(ctx context.Context, stale bool) {
+	k, err := g.store.List(ctx, platform.KindInstances, stale)
+	if err != nil {
+		g.log.Debug("instances not listed", "err", err)
+		return
+	}
+	g.applyInstances(k)
+}
+
+// register writes the instance's object, until the store has taken it.
+func (g *Gateway) register(ctx context.Context) {
+	spec := platform.Instance{Address: g.settings.Listen.Peers, Zone: string(g.settings.Zone), Capacity: g.settings.Capacity}
+	for pause := firstTry; ctx.Err() == nil; pause = min(2*pause, 4*lastTry) {
+		err := g.store.Put(ctx, platform.KindInstances, string(g.settings.Instance), spec)
+		if err == nil {
+			return
+		}
+		g.log.Debug("instance not registered", "err", err)
+		sleep(ctx, g.jitter(pause))
+	}
+}
+
+// deregister removes the instance's object. One that stays does no harm: the
+// others only reckon with one instance more.
+func (g *Gateway) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := g.store.Delete(ctx, platform.KindInstances, string(g.settings.Instance)); err != nil {
+		g.log.Debug("instance not deregistered", "err", err)
+	}
+}
+
+func (g *Gateway) applyInstances(k view.Kind) {
+	var peers []peer
+	for name, o := range k.Objects {
+		in, err := platform.ParseInstance(name, o.Spec)
+		if err != nil {
+			g.log.Warn("entry of an instance ignored", "name", name, "err", err)
+			continue
+		}
+		peers = append(peers, peer{
+			id: topology.InstanceID(name), zone: topology.ZoneID(in.Zone), address: in.Address, capacity: in.Capacity,
+		})
+	}
+	slices.SortFunc(peers, comparePeers)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers = peers
+	g.budget.SetSharers(len(peers))
+	g.targets.SetSharers(len(peers), g.coldTurn)
+}
+
+// coldTurn reports whether this instance is among the n that may send to a
+// cold target. All instances that know the same instances agree on them. The
+// caller holds mu.
+func (g *Gateway) coldTurn(id topology.TargetID, n int) bool {
+	mine := topology.Hash64(string(id) + "/" + string(g.settings.Instance))
+	before := 0
+	for _, p := range g.peers {
+		if p.id != g.settings.Instance && topology.Hash64(string(id)+"/"+string(p.id)) > mine {
+			before++
+		}
+	}
+	return before < n
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,9 +16,11 @@
 	Zone     topology.ZoneID     `json:"zone"`     // availability zone that the instance is in
 
 	Listen GatewayListen `json:"listen"`
-	Store  string        `json:"store"` // IP address and port of the platform's store
+	Store  GatewayStore  `json:"store"`
 	Peers  []string      `json:"peers"` // IP addresses and ports of some instances' listen.peers; may be out of date
 
+	Capacity float64 `json:"capacity"` // processor share of the instance, more than 0
+
 	Repeats  Repeats         `json:"repeats"`
 	Shutdown GatewayShutdown `json:"shutdown"`
 	LogLevel LogLevel        `json:"logLevel"` // debug, info, warn or error; default: info
@@ -32,6 +34,13 @@
 	Metrics   string `json:"metrics"`   // GET /metrics
 }
 
+// GatewayStore says where the platform's store is and by when its news are due.
+type GatewayStore struct {
+	Address     string         `json:"address"`     // IP address and port
+	CatchUpMS   clock.Duration `json:"catchUpMs"`   // after an outage, until the newest configuration is known; 1,000 to 600,000
+	ConfigDueMS clock.Duration `json:"configDueMs"` // from the acceptance of a configuration until it is in force; 1,000 to 600,000
+}
+
 // Repeats is the limit of repeated sends to a service that all instances share.
 type Repeats struct {
 	WindowSeconds int     `json:"windowSeconds"` // 1 to 600
@@ -81,7 +90,12 @@
 	checkAddress(r, "listen.readiness", s.Listen.Readiness, true)
 	checkAddress(r, "listen.peers", s.Listen.Peers, true)
 	checkAddress(r, "listen.metrics", s.Listen.Metrics, true)
-	checkAddress(r, "store", s.Store, false)
+	checkAddress(r, "store.address", s.Store.Address, false)
+	within(r, "store.catchUpMs", s.Store.CatchUpMS, clock.Second, 10*clock.Minute)
+	within(r, "store.configDueMs", s.Store.ConfigDueMS, clock.Second, 10*clock.Minute)
+	if s.Capacity <= 0 {
+		r("capacity", KindInvalid, "expected more than 0")
+	}
 	within(r, "repeats.windowSeconds", s.Repeats.WindowSeconds, 1, 600)
 	if s.Repeats.Ratio < 0 || s.Repeats.Ratio > 1 {
 		r("repeats.ratio", KindInvalid, "expected 0 to 1")
