--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,6 +20,8 @@
 	// lostAfter is how long a call may fail until other instances are told that
 	// changes may be missing. A connection that was cut is opened again by then.
 	lostAfter = 400 * clock.Millisecond
+	// noWait makes a watch return what is known at once.
+	noWait = clock.Millisecond
 )
 
 // followStore keeps all copies up to date from the store until ctx is done.
@@ -37,9 +39,10 @@
 	defer g.views.setWatched(kind, false)
 	pause, failedAt := firstTry, clock.Time(0)
 	list := g.views.kind(kind).Revision == 0
-	stale := list // the first list may be old, since the watch catches up
+	stale := list  // the first list may be old, since the watch catches up
+	wait := noWait // the first watch tells at once whether the copy is up to date
 	for ctx.Err() == nil {
-		changed, err := g.step(ctx, kind, list, stale)
+		changed, err := g.step(ctx, kind, list, stale, wait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -49,7 +52,10 @@
 			if failedAt != 0 {
 				g.log.Info("store regained", "kind", kind, "afterMs", int64(g.clock.Now().Sub(failedAt)))
 			}
-			g.views.setWatched(kind, true)
+			g.views.setWatched(kind, !list || !stale)
+			if !list {
+				wait = g.watchWait()
+			}
 			list, pause, failedAt = false, firstTry, 0
 			if changed {
 				sleep(ctx, settle)
@@ -57,7 +63,7 @@
 		case errors.As(err, &gone):
 			g.log.Warn("store forgot its history", "kind", kind)
 			g.views.setWatched(kind, false)
-			list, stale = true, false
+			list, stale, wait = true, false, noWait
 		default:
 			if failedAt == 0 {
 				failedAt = g.clock.Now()
@@ -65,6 +71,7 @@
 			}
 			if g.clock.Now().Sub(failedAt) >= lostAfter {
 				g.views.setWatched(kind, false)
+				wait = noWait
 				g.syncFromPeer(ctx)
 			}
 			sleep(ctx, g.jitter(pause))
@@ -74,7 +81,7 @@
 }
 
 // step makes one call of the store and applies what it returns.
-func (g *Gateway) step(ctx context.Context, kind string, list, stale bool) (changed bool, err error) {
+func (g *Gateway) step(ctx context.Context, kind string, list, stale bool, wait clock.Duration) (changed bool, err error) {
 	if list {
 		k, err := g.store.List(ctx, kind, stale)
 		if err != nil {
@@ -89,7 +96,7 @@
 		return false, nil
 	}
 	have := g.views.kind(kind)
-	events, at, err := g.store.Watch(ctx, kind, have.Revision, g.watchWait())
+	events, at, err := g.store.Watch(ctx, kind, have.Revision, wait)
 	if err != nil {
 		return false, err
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -22,9 +22,9 @@
 // Figures of the choice of a source.
 const (
 	maxCandidates = 3 // instances before this one that are tried
-	// candidateRest is how long an instance that was not up to date is not
+	// candidateRest is how long a candidate that could not be followed is not
 	// tried again.
-	candidateRest = 3 * clock.Second
+	candidateRest = 500 * clock.Millisecond
 	// selfWatch is how long an instance watches the store until it looks for a
 	// source again.
 	selfWatch = 12 * clock.Second
@@ -42,16 +42,34 @@
 	g.readOnce(ctx)
 	g.firstInstances(ctx)
 	rests := map[string]clock.Time{} // until when candidates are not tried
+	lost := g.clock.Now()            // since when there has been no source
 	for ctx.Err() == nil {
 		candidates, first := g.candidates()
-		if g.followAny(ctx, candidates, rests) {
+		if g.followAny(ctx, candidates, rests, func() {}) {
+			lost = g.clock.Now()
 			continue
 		}
-		if !first && g.views.age() < patience {
+		if !first && g.clock.Now().Sub(lost) < patience {
 			sleep(ctx, g.jitter(firstTry))
 			continue
 		}
-		g.watchSelf(ctx, first)
+		g.watchSelf(ctx, rests)
+		lost = g.clock.Now()
+	}
+}
+
+// watchSelf watches the store until a candidate was followed instead.
+func (g *Gateway) watchSelf(ctx context.Context, rests map[string]clock.Time) {
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	g.log.Info("watching the store")
+	go g.followStore(watching)
+	for ctx.Err() == nil {
+		sleep(ctx, g.jitter(selfWatch))
+		candidates, _ := g.candidates()
+		if g.followAny(ctx, candidates, rests, stop) {
+			return
+		}
 	}
 }
 
@@ -63,7 +81,7 @@
 			if g.views.kind(kind).Revision != 0 {
 				continue
 			}
-			if _, err = g.step(ctx, kind, true, true); err != nil {
+			if _, err = g.step(ctx, kind, true, true, noWait); err != nil {
 				break
 			}
 		}
@@ -78,14 +96,14 @@
 	}
 }
 
-// followAny follows the first candidate that is up to date, as long as it is.
-// It returns false when there is none.
-func (g *Gateway) followAny(ctx context.Context, candidates []string, rests map[string]clock.Time) bool {
+// followAny follows the first candidate that is up to date, as long as it is,
+// and calls started when it begins to. It returns false when there is none.
+func (g *Gateway) followAny(ctx context.Context, candidates []string, rests map[string]clock.Time, started func()) bool {
 	for _, address := range candidates {
 		if g.clock.Now().Before(rests[address]) {
 			continue
 		}
-		followed, err := g.followPeer(ctx, address)
+		followed, err := g.followPeer(ctx, address, started)
 		if ctx.Err() != nil {
 			return true
 		}
@@ -100,7 +118,7 @@
 
 // followPeer follows another instance until it is silent, gone or no longer up
 // to date. followed says that it was up to date at first.
-func (g *Gateway) followPeer(ctx context.Context, address string) (followed bool, err error) {
+func (g *Gateway) followPeer(ctx context.Context, address string, started func()) (followed bool, err error) {
 	err = relay.Follow(ctx, address, g.views.revisions(), g.silence(), func(f relay.Frame) bool {
 		g.views.take(f)
 		if f.Age > g.heartbeat() {
@@ -108,6 +126,7 @@
 		}
 		if !followed {
 			followed = true
+			started()
 			g.log.Info("following an instance", "source", address)
 		}
 		return true
@@ -115,17 +134,6 @@
 	return followed, err
 }
 
-// watchSelf watches the store. An instance that is not the first one looks for
-// a source again after a while.
-func (g *Gateway) watchSelf(ctx context.Context, first bool) {
-	watching, stop := context.WithCancel(ctx)
-	defer stop()
-	g.log.Info("watching the store", "first", first)
-	timer := time.AfterFunc(g.jitter(selfWatch).Std(), stop)
-	defer timer.Stop()
-	g.followStore(watching)
-}
-
 // heartbeat is how often a source tells that it is there. Losing two of them
 // must be noticed well before a configuration is due everywhere.
 func (g *Gateway) heartbeat() clock.Duration { return g.settings.Store.ConfigDueMS / 5 }
