Count every repeat, leave replaced addresses alone, let watching instances follow each other

A shard that had been blocked sent again without asking the budget; the send itself asks now. A watching instance now follows those of two other zones too, and the next instance in the order takes over without waiting.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -11,6 +11,11 @@
 // slots is the number of parts that a window is counted in.
 const slots = 20
 
+// share is the part of the limit that is used. Targets also count requests
+// that arrive twice unnoticed, and the limit may not count test requests of
+// operators, which an instance can't tell from others.
+const share = 0.85
+
 // Terms are the shared limit: in any window, at most ratio times the requests
 // plus slack repeated sends.
 type Terms struct {
@@ -61,6 +66,8 @@
 // during the first window, because an earlier run of the instance may have
 // used its part.
 func New(terms Terms, now clock.Time) *Budget {
+	terms.Ratio *= share
+	terms.Slack *= share
 	return &Budget{terms: terms, started: now, services: map[routing.ServiceName]*service{}}
 }
 
--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -86,6 +86,7 @@
 	answered  bool
 	hopeless  bool // no send is under way and none will follow
 	ran       int  // sends that may have run, including those under way
+	reached   int  // sends that may have reached a target, including those under way
 	sends     int
 	underWay  int
 	tried     []topology.TargetID
@@ -126,7 +127,7 @@
 	for i, name := range terms.Services {
 		c.shards[i].service = name
 		budget.Request(name, now)
-		c.send(i, false, now)
+		c.send(i, now)
 	}
 	return c, c.take()
 }
@@ -137,22 +138,31 @@
 	return out
 }
 
-// send selects a target for shard i. repeat says that the budget has counted
-// the send. When no target can take it, the shard is blocked or hopeless.
-func (c *Call) send(i int, repeat bool, now clock.Time) bool {
+// send sends to a target of shard i, if the budget and a target allow it.
+// Otherwise the shard is blocked or hopeless, unless a send is under way.
+func (c *Call) send(i int, now clock.Time) {
 	s := &c.shards[i]
 	s.blockedAt = 0
+	repeat := s.reached > 0
+	if repeat && !c.budget.Repeat(s.service, now) {
+		s.hopeless = s.underWay == 0
+		return
+	}
 	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, now)
 	if choice.Target == nil {
+		if repeat {
+			c.budget.Refund(s.service, now)
+		}
 		s.reason, s.retry = choice.Reason, choice.Retry
 		if s.underWay == 0 {
 			c.block(s, choice, now)
 		}
-		return false
+		return
 	}
 	s.tried = append(s.tried, choice.Target.ID)
 	s.sends++
 	s.ran++
+	s.reached++
 	s.underWay++
 	s.hedgeAt = 0
 	if s.underWay == 1 {
@@ -160,7 +170,6 @@
 	}
 	c.attempts = append(c.attempts, attempt{shard: i, target: choice.Target, started: now, repeat: repeat})
 	c.sends = append(c.sends, Send{Shard: i, Attempt: len(c.attempts) - 1, Target: choice.Target, Service: s.service})
-	return true
 }
 
 // block lets a shard without a target wait as long as one may become free in
@@ -191,7 +200,10 @@
 	s.underWay--
 	if outcome.NotRun() {
 		s.ran--
-		if a.repeat && outcome == replica.Unsent {
+	}
+	if outcome == replica.Unsent {
+		s.reached--
+		if a.repeat {
 			c.budget.Refund(s.service, now)
 		}
 	}
@@ -229,29 +241,7 @@
 		s.hopeless = true
 		return
 	}
-	// A connection that failed did not reach the service, so that the next
-	// send is the first one to arrive if all before failed that way.
-	if outcome == replica.Unsent && s.ran == 0 && !c.arrived(i) {
-		c.send(i, false, now)
-		return
-	}
-	if !c.budget.Repeat(s.service, now) {
-		s.hopeless = true
-		return
-	}
-	if !c.send(i, true, now) {
-		c.budget.Refund(s.service, now)
-	}
-}
-
-// arrived reports whether a send to shard i may have reached a target.
-func (c *Call) arrived(i int) bool {
-	for _, a := range c.attempts {
-		if a.shard == i && a.repeat {
-			return true
-		}
-	}
-	return false
+	c.send(i, now)
 }
 
 func (c *Call) mayRepeat(s *shard, notRun bool) bool {
@@ -276,7 +266,7 @@
 			c.hedge(i, now)
 		}
 		if s.blockedAt != 0 && !now.Before(s.blockedAt) {
-			c.send(i, false, now)
+			c.send(i, now)
 		}
 	}
 	return c.take()
@@ -292,11 +282,8 @@
 			c.targets.Stalled(a.target)
 		}
 	}
-	if c.terms.Kind != routing.Idempotent || !c.mayRepeat(s, false) || !c.budget.Repeat(s.service, now) {
-		return
-	}
-	if !c.send(i, true, now) {
-		c.budget.Refund(s.service, now)
+	if c.terms.Kind == routing.Idempotent && c.mayRepeat(s, false) {
+		c.send(i, now)
 	}
 }
 
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -276,13 +276,14 @@
 	Answered Outcome = "answered" // a complete, valid answer
 	Failed   Outcome = "failed"   // the target ran the request and reports a failure
 	Shed     Outcome = "shed"     // the target states that it did not run the request
+	Replaced Outcome = "replaced" // another target has the address; it did not run the request
 	Unsent   Outcome = "unsent"   // no connection, or it took no byte of the request
 	Lost     Outcome = "lost"     // sent, and nothing valid came back; it may have run
 	Canceled Outcome = "canceled" // given up by this instance
 )
 
 // NotRun reports whether the outcome proves that the request did not run.
-func (o Outcome) NotRun() bool { return o == Shed || o == Unsent }
+func (o Outcome) NotRun() bool { return o == Shed || o == Replaced || o == Unsent }
 
 // Ended takes back the send that Pick counted and learns from its outcome.
 func (s *Set) Ended(t *Target, r Result, now clock.Time) {
@@ -297,6 +298,8 @@
 	case Shed:
 		t.failures, t.downUntil = 0, 0
 		t.shedUntil = now.Add(shedPause)
+	case Replaced:
+		t.downUntil = now.Add(replacedPause)
 	case Unsent:
 		t.connectFailed(now)
 	case Lost, Canceled:
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -39,6 +39,10 @@
 	// shedPause keeps requests away from a target that has just shed one; it is
 	// about the work time of a few queued requests.
 	shedPause = 30 * clock.Millisecond
+	// replacedPause keeps requests away from an address that another target
+	// has taken, until the listing says so. Requests that go astray count as
+	// repeats at the other target's service.
+	replacedPause = 10 * clock.Second
 )
 
 // Figures of the estimate of a target's slowness.
@@ -80,6 +84,9 @@
 
 // list takes over a newer listing of the same run of the target.
 func (t *Target) list(l Listing, now clock.Time) {
+	if l.Address != t.Address {
+		t.downUntil = 0
+	}
 	t.Listing, t.learned, t.goneSince = l, now, 0
 	t.coldUntil = now.Add(l.Cold)
 	switch {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -214,7 +214,7 @@
 			q.answers[s.Shard] = res.Answer
 		case replica.Failed:
 			q.failure = res.Answer
-		case replica.Shed, replica.Unsent, replica.Lost, replica.Canceled:
+		case replica.Shed, replica.Replaced, replica.Unsent, replica.Lost, replica.Canceled:
 		}
 	}
 	now := g.clock.Now()
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -18,20 +18,27 @@
 // instances decides which one, without agreement: an instance follows the
 // first one before it that is up to date, and watches the store itself when
 // there is none. Two instances that watch cost calls, and nothing else.
+//
+// An instance that watches also follows such instances of other zones, so that
+// a change arrives although its own way to the store has just gone silent.
 
 // Figures of the choice of a source.
 const (
-	maxCandidates = 3 // instances before this one that are tried
+	maxCandidates = 3            // instances before this one that are tried
+	neighbourRest = clock.Second // until a neighbour that was lost is tried again
 	// candidateRest is how long a candidate that could not be followed is not
 	// tried again.
 	candidateRest = 500 * clock.Millisecond
 	// selfWatch is how long an instance watches the store until it looks for a
 	// source again.
 	selfWatch = 12 * clock.Second
-	// patience is how long an instance behind the candidates waits for one of
-	// them before it turns to the store; it keeps the store's calls few during
-	// an outage.
-	patience = 1500 * clock.Millisecond
+	// patience is how long an instance waits for each candidate but one before
+	// it turns to the store itself. It keeps the store's calls few when a
+	// source is lost.
+	patience = 400 * clock.Millisecond
+	// startPatience is how long the first instance has at the start.
+	startPatience = clock.Second
+	maxNeighbours = 2 // instances of other zones that a watching one follows
 
 	listInstances = 15 * clock.Second // between two reads of the instances
 	firstListing  = clock.Second      // all instances of a new system register within this time
@@ -41,15 +48,15 @@
 func (g *Gateway) keepCurrent(ctx context.Context) {
 	g.readOnce(ctx)
 	g.firstInstances(ctx)
-	rests := map[string]clock.Time{} // until when candidates are not tried
-	lost := g.clock.Now()            // since when there has been no source
+	rests := map[string]clock.Time{}         // until when candidates are not tried
+	lost := g.clock.Now().Add(startPatience) // when the source was lost
 	for ctx.Err() == nil {
-		candidates, first := g.candidates()
+		candidates := g.candidates()
 		if g.followAny(ctx, candidates, rests, func() {}) {
 			lost = g.clock.Now()
 			continue
 		}
-		if !first && g.clock.Now().Sub(lost) < patience {
+		if len(candidates) > 0 && g.clock.Now().Sub(lost) < patience*clock.Duration(len(candidates)-1) {
 			sleep(ctx, g.jitter(firstTry))
 			continue
 		}
@@ -64,10 +71,12 @@
 	defer stop()
 	g.log.Info("watching the store")
 	go g.followStore(watching)
+	for i := range maxNeighbours {
+		go g.followNeighbour(watching, i)
+	}
 	for ctx.Err() == nil {
 		sleep(ctx, g.jitter(selfWatch))
-		candidates, _ := g.candidates()
-		if g.followAny(ctx, candidates, rests, stop) {
+		if g.followAny(ctx, g.candidates(), rests, stop) {
 			return
 		}
 	}
@@ -141,19 +150,52 @@
 // silence is how long a source may be silent.
 func (g *Gateway) silence() clock.Duration { return g.heartbeat() * 5 / 2 }
 
+// followNeighbour follows the first instance of another zone; i selects which.
+func (g *Gateway) followNeighbour(ctx context.Context, i int) {
+	for ctx.Err() == nil {
+		if address := g.neighbour(i); address != "" {
+			err := relay.Follow(ctx, address, g.views.revisions(), g.silence(), func(f relay.Frame) bool {
+				g.views.take(f)
+				return true
+			})
+			g.log.Debug("neighbour lost", "source", address, "err", err)
+		}
+		sleep(ctx, g.jitter(neighbourRest))
+	}
+}
+
+// neighbour returns the address of the first instance of the zone that is i+1
+// places after this one in the order of the zones' names, or "".
+func (g *Gateway) neighbour(i int) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var firsts []peer // of the zones
+	for _, p := range g.peers {
+		if !slices.ContainsFunc(firsts, func(f peer) bool { return f.zone == p.zone }) {
+			firsts = append(firsts, p)
+		}
+	}
+	slices.SortFunc(firsts, func(a, b peer) int { return cmp.Compare(a.zone, b.zone) })
+	at := slices.IndexFunc(firsts, func(f peer) bool { return f.zone == g.settings.Zone })
+	if at < 0 || i+1 >= len(firsts) {
+		return ""
+	}
+	return firsts[(at+i+1)%len(firsts)].address
+}
+
 // candidates returns the peer addresses of the instances of the zone that come
-// before this one, the first first. first says that there are none.
-func (g *Gateway) candidates() (addresses []string, first bool) {
+// before this one, the first one first, at most maxCandidates.
+func (g *Gateway) candidates() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	mine := peer{id: g.settings.Instance, zone: g.settings.Zone, capacity: g.settings.Capacity}
+	var addresses []string
 	for _, p := range g.peers {
 		if p.zone == mine.zone && p.id != mine.id && comparePeers(p, mine) < 0 {
 			addresses = append(addresses, p.address)
 		}
 	}
-	first = len(addresses) == 0
-	return addresses[:min(len(addresses), maxCandidates)], first
+	return addresses[:min(len(addresses), maxCandidates)]
 }
 
 // comparePeers orders instances: those with more capacity first, since sources
@@ -268,6 +310,9 @@
 	slices.SortFunc(peers, comparePeers)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(peers) != len(g.peers) {
+		g.log.Info("instances known", "instances", len(peers), "before", len(g.peers), "revision", k.Revision)
+	}
 	g.peers = peers
 	g.budget.SetSharers(len(peers))
 	g.targets.SetSharers(len(peers), g.coldTurn)
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -38,7 +38,8 @@
 }
 
 // Result is how a send ended. Answer is set when Outcome is replica.Answered,
-// replica.Failed or replica.Shed.
+// replica.Failed, replica.Shed or
+// replica.Replaced.
 type Result struct {
 	Outcome replica.Outcome
 	Answer  Answer
@@ -170,6 +171,8 @@
 	answer := Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Digest: reply.Digest}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	switch {
+	case reply.Replaced:
+		return Result{Outcome: replica.Replaced, Answer: answer}
 	case reply.NotRun:
 		return Result{Outcome: replica.Shed, Answer: answer}
 	case reply.Encoded:
