Test the sends, the selection of targets, copies of the store and the fan-out

Two faults were found by them and are fixed: a copy that was listed again could hide a removal from its followers, which keep an object that was created and removed in between (they get the whole kind now), and a cold target with a high rate got less than half of it, since the rate was divided among more instances than there are.

--- /dev/null
+++ b/core/fanout/call_test.go
@@ -0,0 +1,196 @@
+package fanout_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/budget"
+	"knapweedstall/core/clock"
+	"knapweedstall/core/fanout"
+	"knapweedstall/core/replica"
+	"knapweedstall/core/routing"
+	"knapweedstall/core/topology"
+)
+
+// world has services a and b with two targets each.
+type world struct {
+	targets *replica.Set
+	budget  *budget.Budget
+	table   *routing.Table
+	latency *fanout.Estimate
+}
+
+func newWorld(services ...routing.ServiceName) *world {
+	w := &world{
+		targets: replica.NewSet("z", rand.New(rand.NewPCG(1, 2))),
+		budget:  budget.New(budget.Terms{Window: 10 * clock.Second, Ratio: 0.2, Slack: 100}, -20_000),
+		table:   routing.NewTable(&routing.Config{}),
+		latency: fanout.NewEstimate(100),
+	}
+	w.budget.SetSharers(1)
+	var listings []replica.Listing
+	for _, s := range services {
+		for _, copy := range []string{"1", "2"} {
+			listings = append(listings, replica.Listing{ID: topology.TargetID(string(s) + copy), Service: s, Zone: "z", Slots: 2})
+		}
+	}
+	w.targets.List(listings, 1)
+	return w
+}
+
+func (w *world) call(terms fanout.Terms, now clock.Time) (*fanout.Call, []fanout.Send) {
+	if terms.MaxAttempts == 0 {
+		terms.MaxAttempts = 2
+	}
+	if terms.MinCoverage == 0 {
+		terms.MinCoverage = 1
+	}
+	if terms.End == 0 {
+		terms.End = now.Add(1000)
+	}
+	if terms.RefuseBy == 0 {
+		terms.RefuseBy = now.Add(20)
+	}
+	return fanout.New(terms, w.table, w.targets, w.budget, w.latency, now)
+}
+
+func search(services ...routing.ServiceName) fanout.Terms {
+	return fanout.Terms{Kind: routing.Idempotent, Services: services}
+}
+
+func once(service routing.ServiceName) fanout.Terms {
+	return fanout.Terms{Kind: routing.NonIdempotent, Services: []routing.ServiceName{service}}
+}
+
+// TestRepeatsByOutcome guards against a request that may have run being sent
+// again though it may not be repeated, and against giving up one that may be.
+func TestRepeatsByOutcome(t *testing.T) {
+	type result struct {
+		Sends int
+		State fanout.State
+	}
+	for name, c := range map[string]struct {
+		terms    fanout.Terms
+		outcomes []replica.Outcome
+		want     result
+	}{
+		"answered":                    {once("a"), []replica.Outcome{replica.Answered}, result{1, fanout.Complete}},
+		"once, lost":                  {once("a"), []replica.Outcome{replica.Lost}, result{1, fanout.Failure}},
+		"once, failed":                {once("a"), []replica.Outcome{replica.Failed}, result{1, fanout.Failure}},
+		"once, shed, answered":        {once("a"), []replica.Outcome{replica.Shed, replica.Answered}, result{2, fanout.Complete}},
+		"once, unsent, lost":          {once("a"), []replica.Outcome{replica.Unsent, replica.Lost}, result{2, fanout.Failure}},
+		"once, shed everywhere":       {once("a"), []replica.Outcome{replica.Shed, replica.Shed}, result{2, fanout.Refused}},
+		"once, replaced, unsent":      {once("a"), []replica.Outcome{replica.Replaced, replica.Unsent}, result{2, fanout.Refused}},
+		"repeatable, lost, answered":  {search("a"), []replica.Outcome{replica.Lost, replica.Answered}, result{2, fanout.Complete}},
+		"repeatable, failed twice":    {search("a"), []replica.Outcome{replica.Failed, replica.Failed}, result{2, fanout.Failure}},
+		"repeatable, lost, then shed": {search("a"), []replica.Outcome{replica.Lost, replica.Shed}, result{2, fanout.Failure}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld("a")
+			call, sends := w.call(c.terms, 10)
+			made := len(sends)
+			for i, o := range c.outcomes {
+				made += len(call.Ended(i, o, clock.Time(20+i)))
+			}
+			if diff := cmp.Diff(c.want, result{made, call.State(30)}); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestHedge guards against a search that waits for a paused target, and against
+// hedging a request that may run only once.
+func TestHedge(t *testing.T) {
+	w := newWorld("a", "b")
+	call, sends := w.call(search("a", "b"), 10)
+	call.Ended(sends[0].Attempt, replica.Answered, 15)
+	at := call.Next()
+	hedges := call.Tick(at)
+	if len(hedges) != 1 || hedges[0].Service != sends[1].Service || hedges[0].Target.ID == sends[1].Target.ID {
+		t.Fatalf("hedges %+v, want one to the other target of %s", hedges, sends[1].Service)
+	}
+	if more := call.Tick(at.Add(200)); len(more) != 0 {
+		t.Errorf("hedged twice: %+v", more)
+	}
+	call.Ended(hedges[0].Attempt, replica.Answered, at.Add(5))
+	if got := call.State(at.Add(5)); got != fanout.Complete {
+		t.Errorf("state %q, want complete", got)
+	}
+	call.Ended(sends[1].Attempt, replica.Answered, at.Add(100))
+	if got := call.UnderWay(); got != 0 {
+		t.Errorf("%d sends under way, want none", got)
+	}
+
+	call, _ = w.call(once("a"), 10)
+	if hedges := call.Tick(900); len(hedges) != 0 {
+		t.Errorf("request that may run once was hedged: %+v", hedges)
+	}
+}
+
+// TestEarlyAnswer guards against an answer with too few shards, one that leaves
+// shards out although there is time, and one that waits for shards that no
+// target will answer.
+func TestEarlyAnswer(t *testing.T) {
+	terms := search("a", "b", "c", "d")
+	terms.MinCoverage, terms.Early = 0.75, 100
+	for name, c := range map[string]struct {
+		answered int
+		at       clock.Time
+		want     fanout.State
+	}{
+		"time left":              {3, 99, fanout.Open},
+		"due":                    {3, 100, fanout.Partial},
+		"due, too few":           {2, 100, fanout.Open},
+		"too few until the end":  {2, 1010, fanout.TimedOut},
+		"complete before it due": {4, 50, fanout.Complete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			call, sends := newWorld("a", "b", "c", "d").call(terms, 10)
+			for i := range c.answered {
+				call.Ended(sends[i].Attempt, replica.Answered, 20)
+			}
+			if got := call.State(c.at); got != c.want {
+				t.Errorf("state %q, want %q", got, c.want)
+			}
+		})
+	}
+	t.Run("a shard without targets", func(t *testing.T) {
+		call, sends := newWorld("a", "b", "c").call(terms, 10)
+		for i := range 3 {
+			call.Ended(sends[i].Attempt, replica.Answered, 20)
+		}
+		if got := call.State(20); got != fanout.Partial {
+			t.Errorf("state %q, want partial at once", got)
+		}
+	})
+	t.Run("too many shards without targets", func(t *testing.T) {
+		call, _ := newWorld("a", "b").call(terms, 10)
+		if got := call.State(10); got != fanout.Failure {
+			t.Errorf("state %q, want a failure at once", got)
+		}
+	})
+	t.Run("no targets at all", func(t *testing.T) {
+		call, sends := newWorld().call(terms, 10)
+		if got := call.State(10); got != fanout.Refused || len(sends) != 0 {
+			t.Errorf("state %q after %d sends, want a refusal at once", got, len(sends))
+		}
+	})
+}
+
+// TestBlockedShardAsksTheBudget guards against repeats that nobody counts: a
+// shard that was shed and then found no target sent again for free.
+func TestBlockedShardAsksTheBudget(t *testing.T) {
+	w := newWorld("a")
+	w.budget = budget.New(budget.Terms{Window: 10 * clock.Second}, 0) // allows no repeats
+	call, sends := w.call(search("a"), 10)
+	made := len(call.Ended(sends[0].Attempt, replica.Shed, 12))
+	for now := clock.Time(13); now < 200; now++ {
+		made += len(call.Tick(now))
+	}
+	if made != 0 {
+		t.Errorf("%d repeats without a budget", made)
+	}
+}
--- /dev/null
+++ b/core/fanout/load_test.go
@@ -0,0 +1,175 @@
+package fanout_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/fanout"
+	"knapweedstall/core/replica"
+	"knapweedstall/core/routing"
+	"knapweedstall/core/topology"
+)
+
+// The load: searches over 20 services of two targets, which run two requests at
+// a time and pause for 150 ms every 3.6 s, each at its own time.
+const (
+	loadServices   = 20
+	loadPerSecond  = 60
+	loadSeconds    = 30
+	loadObjective  = 120 * clock.Millisecond
+	pauseLength    = 150 * clock.Millisecond
+	pausePeriod    = 3600 * clock.Millisecond
+	meanWork       = 15.0 // ms
+	workSpread     = 0.35
+	networkTime    = 2 * clock.Millisecond
+	loadCoverage   = 0.89
+	loadEarlyShare = 0.85
+)
+
+// event is something that happens at a time.
+type event struct {
+	at clock.Time
+	do func(now clock.Time)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// target is a simulated target: a queue in front of two slots.
+type target struct {
+	free  [2]clock.Time // when each slot is free
+	phase clock.Duration
+}
+
+// serve returns when a request that arrives at now is answered.
+func (s *target) serve(now clock.Time, work clock.Duration) clock.Time {
+	slot := 0
+	if s.free[1] < s.free[0] {
+		slot = 1
+	}
+	start := max(s.free[slot], now)
+	if into := (clock.Duration(start) + s.phase) % pausePeriod; into < pauseLength {
+		start = start.Add(pauseLength - into)
+	}
+	s.free[slot] = start.Add(work)
+	return s.free[slot]
+}
+
+// load plays the load and keeps what callers got.
+type load struct {
+	world   *world
+	queue   events
+	random  *rand.Rand
+	targets map[topology.TargetID]*target
+	hedging bool
+
+	took    []clock.Duration
+	missing int
+	repeats int
+}
+
+func newLoad(hedging bool) *load {
+	var names []routing.ServiceName
+	for i := range loadServices {
+		names = append(names, routing.ServiceName(rune('a'+i)))
+	}
+	l := &load{world: newWorld(names...), random: rand.New(rand.NewPCG(3, 4)), targets: map[topology.TargetID]*target{}, hedging: hedging}
+	for i := range loadServices {
+		for _, copy := range []string{"1", "2"} {
+			id := topology.TargetID(string(rune('a'+i)) + copy)
+			l.targets[id] = &target{phase: clock.Duration(l.random.Int64N(int64(pausePeriod)))}
+		}
+	}
+	for i := range loadPerSecond * loadSeconds {
+		l.at(clock.Time(i*1000/loadPerSecond+1), func(now clock.Time) { l.start(names, now) })
+	}
+	return l
+}
+
+func (l *load) at(t clock.Time, do func(clock.Time)) { heap.Push(&l.queue, event{t, do}) }
+
+func (l *load) run() {
+	for l.queue.Len() > 0 {
+		e := heap.Pop(&l.queue).(event)
+		e.do(e.at)
+	}
+	slices.Sort(l.took)
+}
+
+func (l *load) start(names []routing.ServiceName, now clock.Time) {
+	terms := search(names...)
+	terms.MinCoverage, terms.Early, terms.End = loadCoverage, now.Add(clock.Duration(loadEarlyShare*float64(loadObjective))), now.Add(1200)
+	if !l.hedging {
+		terms.MaxAttempts = 1
+	}
+	call, sends := l.world.call(terms, now)
+	done := false
+	var step func(now clock.Time, sends []fanout.Send)
+	step = func(now clock.Time, sends []fanout.Send) {
+		for _, s := range sends {
+			work := clock.Duration(math.Round(meanWork * math.Exp(workSpread*l.random.NormFloat64())))
+			answer := l.targets[s.Target.ID].serve(now.Add(networkTime), work).Add(networkTime)
+			l.at(answer, func(now clock.Time) { step(now, call.Ended(s.Attempt, replica.Answered, now)) })
+		}
+		if done || call.State(now) == fanout.Open {
+			return
+		}
+		done = true
+		l.took = append(l.took, now.Sub(terms.End)+1200)
+		l.missing += len(call.Missing())
+		_, repeats := call.Sends()
+		l.repeats += repeats
+	}
+	step(now, sends)
+	var tick func(now clock.Time)
+	tick = func(now clock.Time) {
+		if done {
+			return
+		}
+		step(now, call.Tick(now))
+		if !done {
+			l.at(max(call.Next(), now+1), tick)
+		}
+	}
+	l.at(call.Next(), tick)
+}
+
+func (l *load) quantile(q float64) clock.Duration { return l.took[int(q*float64(len(l.took)))] }
+
+// TestPausesAreHedged plays targets that pause, and checks what callers get:
+// 99 in 100 answers within the objective, nearly complete, within the budget of
+// repeats. Without hedges, every second search meets a pause.
+func TestPausesAreHedged(t *testing.T) {
+	l := newLoad(true)
+	l.run()
+	n := len(l.took)
+	if got := l.quantile(0.99); got > loadObjective {
+		t.Errorf("p99 is %d ms, want at most %d ms", got, loadObjective)
+	}
+	if got := 1 - float64(l.missing)/float64(n*loadServices); got < 0.995 {
+		t.Errorf("mean coverage is %.4f, want at least 0.995", got)
+	}
+	if got := float64(l.repeats) / float64(n*loadServices); got > 0.2 {
+		t.Errorf("%.3f repeats for each send, want at most 0.2", got)
+	}
+	baseline := newLoad(false)
+	baseline.run()
+	if got, base := l.quantile(0.9), baseline.quantile(0.9); got > base*3/4 {
+		t.Errorf("p90 is %d ms, want at most three quarters of the %d ms without hedges", got, base)
+	}
+	t.Logf("p50 %d, p90 %d, p99 %d ms, missing %d of %d, repeats %d; without hedges p90 %d ms", l.quantile(0.5), l.quantile(0.9), l.quantile(0.99), l.missing, n*loadServices, l.repeats, baseline.quantile(0.9))
+}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -228,14 +228,16 @@
 // coldSenders is how many instances may send to a cold target. Each may send a
 // burst of one, so their number is bounded by what the target bears beyond its
 // rate.
-func coldSenders(svc *routing.Service) int { return max(1, int(svc.ColdPerSecond/4)+2) }
+func (s *Set) coldSenders(svc *routing.Service) int {
+	return min(int(svc.ColdPerSecond/4)+2, s.assumedSharers())
+}
 
 func (s *Set) coldRate(svc *routing.Service) float64 {
-	return coldShare * svc.ColdPerSecond / float64(coldSenders(svc))
+	return coldShare * svc.ColdPerSecond / float64(s.coldSenders(svc))
 }
 
 func (s *Set) coldAllows(t *Target, svc *routing.Service, now clock.Time) bool {
-	if !s.coldTurn(t.ID, coldSenders(svc)) {
+	if !s.coldTurn(t.ID, s.coldSenders(svc)) {
 		return false
 	}
 	probe := t.coldTokens
--- /dev/null
+++ b/core/replica/set_test.go
@@ -0,0 +1,211 @@
+package replica_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/replica"
+	"knapweedstall/core/routing"
+	"knapweedstall/core/topology"
+)
+
+var plain = &routing.Service{Name: "s", MaxConnections: 1000}
+
+func listing(id topology.TargetID, zone topology.ZoneID) replica.Listing {
+	return replica.Listing{ID: id, Service: "s", Address: "10.0.0.1:" + string(id), Zone: zone, Slots: 2, Born: 1}
+}
+
+func newSet(now clock.Time, listings ...replica.Listing) *replica.Set {
+	s := replica.NewSet("z1", rand.New(rand.NewPCG(1, 2)))
+	s.List(listings, now)
+	return s
+}
+
+// shares picks n times, ends each send at once, and counts the targets.
+func shares(s *replica.Set, n int, now clock.Time) map[topology.TargetID]int {
+	got := map[topology.TargetID]int{}
+	for range n {
+		if c := s.Pick("s", plain, nil, now); c.Target != nil {
+			got[c.Target.ID]++
+			s.Ended(c.Target, replica.Result{Outcome: replica.Answered}, now)
+		}
+	}
+	return got
+}
+
+// report ends one send to the target with the outcome.
+func report(t *testing.T, s *replica.Set, id topology.TargetID, r replica.Result, now clock.Time) {
+	t.Helper()
+	var others []topology.TargetID
+	for _, other := range []topology.TargetID{"a", "b", "c"} {
+		if other != id {
+			others = append(others, other)
+		}
+	}
+	c := s.Pick("s", plain, others, now)
+	if c.Target == nil {
+		t.Fatalf("target %s can't be picked: %s", id, c.Reason)
+	}
+	s.Ended(c.Target, r, now)
+}
+
+// TestUnusableTargets guards against requests to targets that may not get any,
+// and against losing a shard whose only targets are about to leave.
+func TestUnusableTargets(t *testing.T) {
+	draining := listing("b", "z1")
+	draining.Draining = true
+	for name, c := range map[string]struct {
+		change func(s *replica.Set)
+		at     clock.Time
+		want   map[topology.TargetID]int
+	}{
+		"draining one is left": {func(s *replica.Set) { s.List([]replica.Listing{listing("a", "z1"), draining}, 100) }, 101, map[topology.TargetID]int{"a": 10}},
+		"missing one is left":  {func(s *replica.Set) { s.List([]replica.Listing{listing("a", "z1")}, 100) }, 101, map[topology.TargetID]int{"a": 10}},
+		"only draining, soon": {func(s *replica.Set) {
+			s.List([]replica.Listing{draining}, 100)
+			s.List([]replica.Listing{draining}, 3000)
+		}, 1500, map[topology.TargetID]int{"b": 10}},
+		"only draining, late":          {func(s *replica.Set) { s.List([]replica.Listing{draining}, 100); s.Expire(5000) }, 5000, map[topology.TargetID]int{}},
+		"all missing, store just back": {func(s *replica.Set) { s.List(nil, 100) }, 2000, map[topology.TargetID]int{"a": 5, "b": 5}},
+		"all missing, store long back": {func(s *replica.Set) { s.List(nil, 100) }, 2400, map[topology.TargetID]int{}},
+		"evacuated zone":               {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}) }, 100, map[topology.TargetID]int{}},
+		"evacuation taken back":        {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}); s.SetEvacuated(nil) }, 100, map[topology.TargetID]int{"a": 5, "b": 5}},
+		"connection refused":           {func(s *replica.Set) { report(t, s, "b", replica.Result{Outcome: replica.Unsent}, 100) }, 150, map[topology.TargetID]int{"a": 10}},
+		"address taken by another":     {func(s *replica.Set) { report(t, s, "b", replica.Result{Outcome: replica.Replaced}, 100) }, 5000, map[topology.TargetID]int{"a": 10}},
+		"late entry of an earlier run": {func(s *replica.Set) { l := draining; l.Born = 0; s.List([]replica.Listing{listing("a", "z1"), l}, 100) }, 101, map[topology.TargetID]int{"a": 5, "b": 5}},
+		"started again under the same name": {func(s *replica.Set) {
+			l := draining
+			s.List([]replica.Listing{listing("a", "z1"), l}, 100)
+			l.Born, l.Draining = 2, false
+			s.List([]replica.Listing{listing("a", "z1"), l}, 200)
+		}, 201, map[topology.TargetID]int{"a": 5, "b": 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSet(1, listing("a", "z1"), listing("b", "z1"))
+			c.change(s)
+			got := shares(s, 10, c.at)
+			if len(c.want) == 2 && len(got) == 2 {
+				return // how many each gets is random
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("picks (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSlowTargetLosesTraffic guards against a slow or failing target keeping
+// its share, and against it never getting a chance again.
+func TestSlowTargetLosesTraffic(t *testing.T) {
+	for name, r := range map[string]replica.Result{
+		"slow":    {Outcome: replica.Answered, Slowness: 10},
+		"failing": {Outcome: replica.Failed},
+		"silent":  {Outcome: replica.Lost, Slowness: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSet(1, listing("a", "z1"), listing("b", "z1"))
+			for i := range 3 {
+				report(t, s, "b", r, clock.Time(100+i))
+			}
+			if got := shares(s, 1000, 110)["b"]; got > 150 {
+				t.Errorf("%d of 1000 requests went to it at once, want at most 150", got)
+			}
+			if got := shares(s, 1000, 60_000)["b"]; got < 350 {
+				t.Errorf("%d of 1000 requests went to it a minute later, want about half", got)
+			}
+		})
+	}
+}
+
+// TestStalledTargetIsAvoided guards against more requests queueing at a target
+// that has stopped answering.
+func TestStalledTargetIsAvoided(t *testing.T) {
+	s := newSet(1, listing("a", "z1"), listing("b", "z1"))
+	c := s.Pick("s", plain, []topology.TargetID{"a"}, 10)
+	s.Stalled(c.Target)
+	if got := shares(s, 1000, 20)["b"]; got > 50 {
+		t.Errorf("%d of 1000 requests went to the stalled target, want at most 50", got)
+	}
+	s.Ended(c.Target, replica.Result{Outcome: replica.Answered, Stalled: true}, 30)
+	if got := shares(s, 1000, 40)["b"]; got < 350 {
+		t.Errorf("%d of 1000 requests went to it after its answer, want about half", got)
+	}
+}
+
+// TestOwnZoneIsPreferred guards traffic between zones, and against a slow
+// target of the own zone keeping the traffic.
+func TestOwnZoneIsPreferred(t *testing.T) {
+	s := newSet(1, listing("a", "z1"), listing("b", "z2"))
+	if got := shares(s, 1000, 10)["a"]; got < 800 {
+		t.Errorf("%d of 1000 requests stayed in the zone, want at least 800", got)
+	}
+	for i := range 4 {
+		report(t, s, "a", replica.Result{Outcome: replica.Answered, Slowness: 10}, clock.Time(20+i))
+	}
+	if got := shares(s, 1000, 30)["a"]; got > 350 {
+		t.Errorf("%d of 1000 requests went to the slow target of the zone, want at most 350", got)
+	}
+}
+
+// TestConnectionsAreShared guards the connections that a target accepts from
+// all instances together.
+func TestConnectionsAreShared(t *testing.T) {
+	s := newSet(1, listing("a", "z1"))
+	s.SetSharers(10, func(topology.TargetID, int) bool { return true })
+	svc := &routing.Service{Name: "s", MaxConnections: 50}
+	sent := 0
+	for s.Pick("s", svc, nil, 10).Target != nil {
+		sent++
+	}
+	if sent > 5 || sent < 2 {
+		t.Errorf("%d requests at the same time to a target with 50 connections for 10 instances", sent)
+	}
+	if got := s.Pick("s", svc, nil, 10).Reason; got != replica.Busy {
+		t.Errorf("reason %q, want %q", got, replica.Busy)
+	}
+}
+
+// TestColdTargetRate guards a cold target against more requests, from all
+// instances together, than it bears.
+func TestColdTargetRate(t *testing.T) {
+	for _, rate := range []float64{1, 5, 10, 40, 100} {
+		const instances = 15
+		svc := &routing.Service{Name: "s", ColdPerSecond: rate}
+		cold := listing("a", "z1")
+		cold.Cold = 10 * clock.Second
+		var sets []*replica.Set
+		for i := range instances {
+			s := newSet(1, cold)
+			s.SetSharers(instances, func(_ topology.TargetID, n int) bool { return i < n })
+			sets = append(sets, s)
+		}
+		var sent []clock.Time
+		for now := clock.Time(2); now < 5000; now += 5 {
+			for _, s := range sets {
+				if c := s.Pick("s", svc, nil, now); c.Target != nil {
+					sent = append(sent, now)
+					s.Ended(c.Target, replica.Result{Outcome: replica.Answered}, now)
+				}
+			}
+		}
+		most := 0
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from.Add(clock.Second) {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		if limit := int(rate*1.5 + 5); most > limit {
+			t.Errorf("rate %v: %d requests in one second, limit %d", rate, most, limit)
+		}
+		if len(sent) < int(rate*5*0.5) {
+			t.Errorf("rate %v: only %d requests in 5 s", rate, len(sent))
+		}
+	}
+}
--- /dev/null
+++ b/core/routing/routing_test.go
@@ -0,0 +1,54 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/routing"
+)
+
+// TestMatchTakesLongestPrefix guards against a request going to a broader
+// route than the one that is meant for it.
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	table := routing.NewTable(&routing.Config{Routes: []routing.Route{
+		{Name: "short", Host: "a", Prefix: "/x/"},
+		{Name: "long", Host: "a", Prefix: "/x/y/"},
+		{Name: "root", Host: "b", Prefix: "/"},
+	}})
+	for _, c := range []struct {
+		host, path string
+		want       routing.RouteName
+	}{
+		{"a", "/x/y/1", "long"},
+		{"a", "/x/yy/1", "short"},
+		{"a", "/x", ""},
+		{"a", "/", ""},
+		{"b", "/x/y/1", "root"},
+		{"c", "/x/", ""},
+	} {
+		var got routing.RouteName
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s%s (-want +got):\n%s", c.host, c.path, diff)
+		}
+	}
+}
+
+// TestChooseFollowsWeights guards the proportions of a traffic split, and
+// services with no weight getting requests.
+func TestChooseFollowsWeights(t *testing.T) {
+	r := routing.Route{Split: []routing.Share{{"a", 1}, {"b", 0}, {"c", 3}}}
+	got := map[routing.ServiceName]int{}
+	for i := range 1000 {
+		got[r.Choose(float64(i)/1000)]++
+	}
+	if diff := cmp.Diff(map[routing.ServiceName]int{"a": 250, "c": 750}, got); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+	if got := (&routing.Route{Split: []routing.Share{{"a", 0}}}).Choose(0.5); got != "" {
+		t.Errorf("without weights: got %q, want none", got)
+	}
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -34,6 +34,8 @@
 }
 
 // Listed returns the copy of a kind that the store has listed at revision at.
+// What was created and removed before is unknown, so that instances with an
+// earlier copy need the whole kind.
 func Listed(objects map[string]Object, at Revision) Kind {
 	return Kind{Revision: at, Objects: objects, floor: at}
 }
@@ -60,24 +62,6 @@
 	return out.bounded()
 }
 
-// Replace returns the newer copy to, with what is needed to tell others the
-// difference.
-func (k Kind) Replace(to Kind) Kind {
-	if k.Revision == 0 {
-		return to
-	}
-	to.floor, to.gone = k.floor, clone(k.gone)
-	for name := range k.Objects {
-		if _, ok := to.Objects[name]; !ok {
-			to.gone[name] = to.Revision
-		}
-	}
-	for name := range to.Objects {
-		delete(to.gone, name)
-	}
-	return to.bounded()
-}
-
 func (k Kind) bounded() Kind {
 	if len(k.gone) > maxGone {
 		k.gone, k.floor = map[string]Revision{}, k.Revision
@@ -119,7 +103,7 @@
 		return k
 	}
 	if d.Whole {
-		return k.Replace(Listed(d.Objects, d.At))
+		return Listed(d.Objects, d.At)
 	}
 	out := k
 	out.Revision = d.At
--- /dev/null
+++ b/core/view/view_test.go
@@ -0,0 +1,93 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"knapweedstall/core/view"
+)
+
+// store is an oracle: it has each change with its revision.
+type store struct {
+	at      view.Revision
+	objects map[string]view.Object
+	log     []view.Event // of revision 1, 2, …
+}
+
+func (s *store) change(name string, deleted bool) {
+	if _, ok := s.objects[name]; deleted && !ok {
+		return
+	}
+	s.at++
+	e := view.Event{Name: name, Deleted: deleted, Object: view.Object{Revision: s.at, Spec: fmt.Append(nil, s.at)}}
+	s.log = append(s.log, e)
+	if deleted {
+		delete(s.objects, name)
+		return
+	}
+	s.objects[name] = e.Object
+}
+
+func (s *store) list() view.Kind {
+	objects := map[string]view.Object{}
+	for name, o := range s.objects {
+		objects[name] = o
+	}
+	return view.Listed(objects, s.at)
+}
+
+// TestCopiesConverge guards against a copy that lost or kept an object: three
+// copies read the store by lists and watches, or take deltas from each other,
+// in any order. A copy at the store's revision must equal the store.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{objects: map[string]view.Object{}}
+		copies := make([]view.Kind, 3)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i, j := rapid.IntRange(0, 2).Draw(t, "i"), rapid.IntRange(0, 2).Draw(t, "j")
+			before := copies[i].Revision
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				s.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "deleted"))
+			case 3:
+				if k := s.list(); k.Revision >= copies[i].Revision && k.Revision > 0 {
+					copies[i] = k
+				}
+			case 4:
+				if before > 0 {
+					copies[i] = copies[i].Apply(s.log[before:], s.at)
+				}
+			case 5:
+				copies[i] = copies[i].Merge(copies[j].Since(before))
+			}
+			if copies[i].Revision < before {
+				t.Fatalf("copy went back from revision %d to %d", before, copies[i].Revision)
+			}
+			if copies[i].Revision != s.at || s.at == 0 {
+				continue
+			}
+			if diff := cmp.Diff(s.objects, copies[i].Objects); diff != "" {
+				t.Fatalf("copy at revision %d (-store +copy):\n%s", s.at, diff)
+			}
+		}
+	})
+}
+
+// TestHeartbeatIsSmall guards the size of a delta when nothing has changed.
+func TestHeartbeatIsSmall(t *testing.T) {
+	s := &store{objects: map[string]view.Object{}}
+	s.change("a", false)
+	k := s.list()
+	s.change("b", false)
+	k = k.Apply(s.log[1:], s.at)
+	want := view.Delta{At: 2, Objects: map[string]view.Object{}}
+	if diff := cmp.Diff(want, k.Since(2)); diff != "" {
+		t.Errorf("delta (-want +got):\n%s", diff)
+	}
+	if got := k.Since(1).Whole; got {
+		t.Error("a follower at the listed revision got the whole kind")
+	}
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -91,7 +91,7 @@
 			if k.Revision < have.Revision {
 				return have
 			}
-			return have.Replace(k)
+			return k
 		})
 		return false, nil
 	}
