Refuse requests that have crashed two targets

A request may crash each target that runs it and comes again at any instance. A target whose connection broke is asked for a new one; if it refuses, the crash is written to the store, and all instances refuse the request once it has crashed two targets.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -29,6 +29,8 @@
 		g.applyTargets(k)
 	case platform.KindEvacuations:
 		g.applyEvacuations(k)
+	case platform.KindCrashes:
+		g.applyCrashes(k)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"knapweedstall/core/budget"
 	"knapweedstall/core/clock"
 	"knapweedstall/core/fanout"
+	"knapweedstall/core/poison"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/topology"
@@ -49,6 +50,7 @@
 	targets   *replica.Set
 	budget    *budget.Budget
 	estimates map[routing.RouteName]*fanout.Estimate
+	crashes   *poison.Ledger
 	open      int                      // requests in progress
 	peers     []peer                   // all known instances, this one included
 	seeds     []string                 // peer addresses from the settings
@@ -65,6 +67,7 @@
 		pool:      upstream.NewPool(c),
 		draining:  make(chan struct{}),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		crashes:   poison.NewLedger(),
 		seeds:     s.Peers,
 		estimates: map[routing.RouteName]*fanout.Estimate{},
 		listings:  map[string]parsedListing{},
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/fanout"
+	"knapweedstall/core/poison"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/topk"
@@ -57,6 +58,7 @@
 	terms    fanout.Terms
 	out      upstream.Request
 	arrived  clock.Time
+	print    poison.Fingerprint
 
 	ctx    context.Context // of the sends
 	cancel context.CancelFunc
@@ -64,6 +66,7 @@
 
 	// Guarded by the gateway's mu.
 	call    *fanout.Call
+	crashed int // sends whose target ended while it ran the request
 	next    clock.Time
 	answers []upstream.Answer // of the services, in their order
 	failure upstream.Answer   // the last failure that a target stated; Status 0 for none
@@ -96,7 +99,13 @@
 	if !ok {
 		return
 	}
+	print := poison.NewFingerprint(r.Method, r.Host, r.RequestURI, body)
+	if g.quarantined(print) {
+		g.refuse(w, r, "the request crashes targets", retryMax)
+		return
+	}
 	q := g.newRequest(r, table, route, body, arrived)
+	q.print = print
 	defer q.finish()
 	q.start(table)
 	q.wait(r.Context())
@@ -206,6 +215,9 @@
 	g := q.g
 	remaining := q.terms.End.Sub(g.clock.Now())
 	res := g.pool.Send(q.ctx, &q.out, id, address, remaining)
+	if res.Broken && q.ctx.Err() == nil {
+		go g.investigate(q, id, address)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if q.state == fanout.Open {
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -12,7 +12,7 @@
 )
 
 // followedKinds are the kinds of objects that each instance has a copy of.
-var followedKinds = []string{platform.KindConfig, platform.KindTargets, platform.KindEvacuations}
+var followedKinds = []string{platform.KindConfig, platform.KindTargets, platform.KindEvacuations, platform.KindCrashes}
 
 // views holds the instance's copies of the store's kinds. It implements
 // relay.Source.
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -4,10 +4,14 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
 )
@@ -136,3 +140,14 @@
 		}
 	}
 }
+
+// Refuses opens a connection to the target and keeps it. It reports whether the
+// target's address refuses connections, as it does after a crash.
+func (p *Pool) Refuses(ctx context.Context, id topology.TargetID, address string) bool {
+	c, err := p.dial(ctx, id, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c)
+	return false
+}
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -44,9 +44,7 @@
 	Outcome replica.Outcome
 	Answer  Answer
 	Err     error // why there is no answer
-	// Refused says that the target's address refused a new connection, or that
-	// the connection broke, so that the target may have crashed.
-	Broken bool
+	Broken  bool  // the connection broke, so that the target may have crashed
 }
 
 // Send sends r to a target and waits for its answer until ctx is done.
