Hedge after twice the median at the latest

With many slow targets the 92nd percentile of the latency is that of a slow one, and hedges came after half of the objective.

--- a/core/fanout/latency.go
+++ b/core/fanout/latency.go
@@ -8,9 +8,12 @@
 
 // Figures of the latency estimate.
 const (
-	samples      = 128  // that the estimate is made from
-	refresh      = 16   // new samples after which it is made again
-	hedgeRank    = 0.92 // share of the sends that are not overdue
+	samples   = 128  // that the estimate is made from
+	refresh   = 16   // new samples after which it is made again
+	hedgeRank = 0.92 // share of the sends that are not overdue
+	// hedgeFactor bounds the delay when many targets are slow, by the time that
+	// the other ones take.
+	hedgeFactor  = 2
 	minHedge     = 2 * clock.Millisecond
 	initialShare = 4 // a quarter of the objective, until there are samples
 	maxShare     = 2 // at most half of the objective
@@ -52,7 +55,7 @@
 	sorted := slices.Clone(e.ring[:min(e.count, samples)])
 	slices.Sort(sorted)
 	e.usual = sorted[len(sorted)/2]
-	e.hedge = max(sorted[int(hedgeRank*float64(len(sorted)))], minHedge)
+	e.hedge = max(min(sorted[int(hedgeRank*float64(len(sorted)))], hedgeFactor*e.usual), minHedge)
 	if e.objective > 0 {
 		e.hedge = min(e.hedge, max(e.objective/maxShare, minHedge))
 	}
