Explain a request from its id: decision log, metrics and a verb

Counters and a latency histogram are served on the metrics address. 'knapweedstall explain ID FILE...' joins the lines of several instances.

--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,97 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"knapweedstall/explain"
+)
+
+// explainCommand tells from logs what became of a request.
+type explainCommand struct {
+	printer
+}
+
+// Name implements subcommands.Command.
+func (*explainCommand) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (*explainCommand) Synopsis() string { return "tell from logs what became of a request" }
+
+// Usage implements subcommands.Command.
+func (*explainCommand) Usage() string {
+	return `explain [flags] ID FILE...: join the log lines of one request from the logs of several instances.
+
+Example:
+  knapweedstall explain 9c41d07be2a35f68 instance-1.log instance-2.log
+` + exitCodesHelp
+}
+
+// SetFlags implements subcommands.Command.
+func (c *explainCommand) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
+
+// Execute implements subcommands.Command.
+func (c *explainCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 2 {
+		f.Usage()
+		return exitUsage
+	}
+	account, err := explainFiles(f.Arg(0), f.Args()[1:])
+	if err != nil {
+		return fail(exitFailure, err)
+	}
+	c.print(account, func(w io.Writer) { printAccount(w, account) })
+	if len(account.Lines) == 0 {
+		return exitFailure
+	}
+	return exitOK
+}
+
+func explainFiles(id string, paths []string) (explain.Account, error) {
+	var logs []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return explain.Account{}, errors.WithStack(err)
+		}
+		defer func() { _ = file.Close() }() // it was only read
+		logs = append(logs, file)
+	}
+	return explain.Explain(id, logs...)
+}
+
+func printAccount(w io.Writer, a explain.Account) {
+	sections := []struct {
+		title string
+		lines []explain.Line
+	}{{"request " + a.ID, a.Lines}, {"state of these instances in the 10 s before", a.Context}}
+	for _, s := range sections {
+		fmt.Fprintln(w, s.title)
+		for _, l := range s.lines {
+			fmt.Fprintf(w, "  %s %s %s%s\n", l.Time.Format("15:04:05.000"), l.Instance, l.Message, fields(l))
+		}
+	}
+	for _, gap := range a.Gaps {
+		fmt.Fprintln(w, "missing:", gap)
+	}
+}
+
+// fields returns the fields of a line as key=value pairs in the order of the keys.
+func fields(l explain.Line) string {
+	pairs := make([]string, 0, len(l.Fields))
+	for key, value := range l.Fields {
+		if key != "id" && key != "level" {
+			pairs = append(pairs, " "+key+"="+value)
+		}
+	}
+	slices.Sort(pairs)
+	return strings.Join(pairs, "")
+}
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -13,6 +13,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/gateway"
+	"knapweedstall/io/logsink"
 	"knapweedstall/settings"
 )
 
@@ -54,8 +55,10 @@
 	if err != nil {
 		return fail(exitFailure, err)
 	}
-	logger := newLogger(s.LogLevel).With("instance", string(s.Instance))
-	g := gateway.New(s, clock.NewSystem(), logger)
+	sink := logsink.New(os.Stdout)
+	defer sink.Flush(flushTime)
+	logger := newLogger(sink, s.LogLevel).With("instance", string(s.Instance))
+	g := gateway.New(s, clock.NewSystem(), logger, gateway.WithDroppedLines(sink.Dropped))
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go c.reload(ctx, g, hup, logger)
@@ -65,6 +68,9 @@
 	return exitOK
 }
 
+// flushTime is how long the last log lines may take to be read.
+const flushTime = 100 * time.Millisecond
+
 // reloadPeriod is how often the settings file is looked at, since it may change
 // without a signal.
 const reloadPeriod = 5 * time.Second
@@ -80,7 +86,7 @@
 			return
 		case <-hup:
 		case <-ticker.C:
-			if modified(c.path) == last {
+			if modified(c.path).Equal(last) {
 				continue
 			}
 		}
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -49,6 +49,7 @@
 	commander.Register(&runCommand{}, "callers")
 	commander.Register(&ticketCommand{}, "operators")
 	commander.Register(&statusCommand{}, "operators")
+	commander.Register(&explainCommand{}, "operators")
 	commander.Register(&checkconfigCommand{}, "operators")
 	if err := flags.Parse(args[1:]); err != nil {
 		return int(exitUsage)
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"math/rand/v2"
 	"os"
 	"time"
@@ -53,7 +54,7 @@
 	if err != nil {
 		return fail(exitFailure, err)
 	}
-	logger := newLogger(s.LogLevel).With("instance", string(s.Instance))
+	logger := newLogger(os.Stderr, s.LogLevel).With("instance", string(s.Instance))
 	incarnation := topology.NewIncarnation(time.Now().UnixMilli(), rand.Uint64())
 	if err := instance.New(s, incarnation, logger).Serve(ctx); err != nil {
 		return fail(exitFailure, err)
@@ -62,9 +63,9 @@
 }
 
 // newLogger returns a logger that writes one line of key-value pairs for each
-// record to standard error.
-func newLogger(level settings.LogLevel) *log.Logger {
-	logger := log.NewWithOptions(os.Stderr, log.Options{
+// record to out.
+func newLogger(out io.Writer, level settings.LogLevel) *log.Logger {
+	logger := log.NewWithOptions(out, log.Options{
 		ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter,
 	})
 	if parsed, err := log.ParseLevel(string(level)); err == nil {
--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -4,6 +4,8 @@
 package fanout
 
 import (
+	"fmt"
+
 	"knapweedstall/core/clock"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
@@ -105,6 +107,16 @@
 	stalled bool
 	ended   bool
 	repeat  bool // counted by the budget
+	outcome replica.Outcome
+	took    clock.Duration
+}
+
+// state returns the outcome, or that there is none yet.
+func (a *attempt) state() string {
+	if !a.ended {
+		return "underWay"
+	}
+	return string(a.outcome)
 }
 
 // Call is the state of one request.
@@ -200,6 +212,7 @@
 	}
 	a.ended = true
 	took := now.Sub(a.started)
+	a.outcome, a.took = outcome, took
 	c.targets.Ended(a.target, replica.Result{Outcome: outcome, Slowness: c.slowness(outcome, took), Stalled: a.stalled}, now)
 	s := &c.shards[a.shard]
 	s.underWay--
@@ -406,13 +419,36 @@
 	return len(c.attempts), repeats
 }
 
-// Reasons returns why the services that have not answered got no target.
-func (c *Call) Reasons() []replica.Reason {
-	var reasons []replica.Reason
+// Trouble is a send that brought no answer in time, or a service that got none.
+type Trouble struct {
+	Service routing.ServiceName
+	Target  topology.TargetID // "" when no target could take the request
+	Outcome string            // of the send, "underWay", or why there was no target
+	Took    clock.Duration
+}
+
+// String returns "service/target/outcome/tookMs".
+func (t Trouble) String() string {
+	return fmt.Sprintf("%s/%s/%s/%d", t.Service, t.Target, t.Outcome, t.Took)
+}
+
+// Troubles returns what went wrong with the services that have not answered, at
+// most n of them.
+func (c *Call) Troubles(n int) []Trouble {
+	var out []Trouble
 	for i := range c.shards {
-		if s := &c.shards[i]; !s.answered {
-			reasons = append(reasons, s.reason)
+		s := &c.shards[i]
+		if s.answered {
+			continue
+		}
+		for _, a := range c.attempts {
+			if a.shard == i {
+				out = append(out, Trouble{s.service, a.target.ID, a.state(), a.took})
+			}
+		}
+		if s.reason != replica.Selected {
+			out = append(out, Trouble{Service: s.service, Outcome: string(s.reason)})
 		}
 	}
-	return reasons
+	return out[:min(n, len(out))]
 }
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,142 @@
+// Package explain joins the log lines of several instances that concern one
+// request into one account, in the order of time.
+package explain
+
+import (
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/pkg/errors"
+)
+
+// Line is one log line.
+type Line struct {
+	Time     time.Time         `json:"time"`
+	Instance string            `json:"instance"`
+	Message  string            `json:"message"`
+	Fields   map[string]string `json:"fields"` // without time, level, message and instance
+}
+
+// Account is what the logs say of a request.
+type Account struct {
+	ID    string `json:"id"`
+	Lines []Line `json:"lines"` // in the order of time
+	// Context holds what the instances of Lines logged of their state before
+	// the request ended: configuration, store, sources.
+	Context []Line `json:"context"`
+	// Gaps says what the logs don't tell.
+	Gaps []string `json:"gaps"`
+}
+
+// contextLength is how long before a request's last line the state of an
+// instance may have decided it.
+const contextLength = 10 * time.Second
+
+// requestMessage is the message of a line that tells how a request ended.
+const requestMessage = "request"
+
+// Explain reads logs and returns the account of the request with the id.
+func Explain(id string, logs ...io.Reader) (Account, error) {
+	account := Account{ID: id, Lines: []Line{}, Context: []Line{}, Gaps: []string{}}
+	var state []Line
+	for _, log := range logs {
+		lines, err := read(log)
+		if err != nil {
+			return Account{}, err
+		}
+		for _, l := range lines {
+			switch {
+			case l.Fields["id"] == id:
+				account.Lines = append(account.Lines, l)
+			case l.Fields["id"] == "":
+				state = append(state, l)
+			}
+		}
+	}
+	sortByTime(account.Lines)
+	account.Context = related(state, account.Lines)
+	account.Gaps = gaps(account, state)
+	return account, nil
+}
+
+// read returns the lines of a log. Lines in another format are passed over.
+func read(log io.Reader) ([]Line, error) {
+	var lines []Line
+	d := logfmt.NewDecoder(log)
+	for d.ScanRecord() {
+		l := Line{Fields: map[string]string{}}
+		for d.ScanKeyval() {
+			l.set(string(d.Key()), string(d.Value()))
+		}
+		if !l.Time.IsZero() && l.Message != "" {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.WithStack(d.Err())
+}
+
+func (l *Line) set(key, value string) {
+	switch key {
+	case "time":
+		l.Time, _ = time.Parse(time.RFC3339Nano, value) // a line without a time is passed over
+	case "msg":
+		l.Message = value
+	case "instance":
+		l.Instance = value
+	default:
+		l.Fields[key] = value
+	}
+}
+
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
+// related returns the state lines of the instances that the request passed,
+// from shortly before it until its last line.
+func related(state, lines []Line) []Line {
+	context := []Line{}
+	if len(lines) == 0 {
+		return context
+	}
+	end := lines[len(lines)-1].Time
+	passed := map[string]bool{}
+	for _, l := range lines {
+		passed[l.Instance] = true
+	}
+	for _, l := range state {
+		if passed[l.Instance] && !l.Time.After(end) && end.Sub(l.Time) <= contextLength {
+			context = append(context, l)
+		}
+	}
+	sortByTime(context)
+	return context
+}
+
+// gaps says which lines are missing from the account.
+func gaps(a Account, state []Line) []string {
+	out := []string{}
+	if len(a.Lines) == 0 {
+		out = append(out, "no line names the request: it was complete and not sampled, it reached no instance of these logs, or its line was left out")
+	}
+	seen := map[string]bool{}
+	for _, l := range a.Lines {
+		if l.Message == requestMessage {
+			seen[l.Instance] = true
+		}
+	}
+	for _, l := range a.Lines {
+		if runner := l.Fields["runner"]; runner != "" && !seen[runner] {
+			out = append(out, "the log of "+runner+", which ran the search, has no line of it")
+		}
+	}
+	for _, l := range state {
+		if strings.Contains(l.Message, "log lines left out") {
+			out = append(out, l.Fields["lines"]+" log lines were left out at "+l.Time.Format(time.RFC3339))
+		}
+	}
+	return out
+}
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -134,7 +134,7 @@
 	}
 	q := g.openRequest(route, g.clock.Now())
 	q.out = upstream.Request{ID: s.RequestID, Method: s.Method, Head: s.Head, Body: s.Body}
-	q.print = poison.NewFingerprint("", "", string(s.Head), s.Body)
+	q.print, q.version = poison.NewFingerprint("", "", string(s.Head), s.Body), table.Config.Version
 	q.terms = searchTerms(route, q.arrived, s)
 	q.start(table)
 	defer q.finish()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -67,6 +67,7 @@
 		default:
 			if failedAt == 0 {
 				failedAt = g.clock.Now()
+				g.metrics.lost.Inc(1)
 				g.log.Warn("store lost", "kind", kind, "err", err)
 			}
 			if g.clock.Now().Sub(failedAt) >= lostAfter {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,19 +54,31 @@
 	estimates map[routing.RouteName]*fanout.Estimate
 	crashes   *poison.Ledger
 	open      int      // requests in progress
+	completed int      // requests with a complete answer, for sampling
 	peers     []peer   // all known instances, this one included
 	seeds     []string // peer addresses from the settings
 	placing   *placing.Set
 	nearness  map[routing.RouteName]map[topology.ZoneID]float64 // shards with a target in the zone, computed when needed
 	listings  map[string]parsedListing                          // of the store's entries, by name
 
+	metrics   *counters
+	dropped   func() int64 // log lines that were left out
 	views     *views
 	delegates *delegate.Client // searches that other instances run
 	delegated *delegate.Server // searches of other instances
 }
 
+// Option configures a Gateway.
+type Option func(*Gateway)
+
+// WithDroppedLines tells the gateway how many log lines were left out, for its
+// metrics.
+func WithDroppedLines(dropped func() int64) Option {
+	return func(g *Gateway) { g.dropped = dropped }
+}
+
 // New returns a Gateway with the settings.
-func New(s settings.Gateway, c clock.Clock, logger *log.Logger) *Gateway {
+func New(s settings.Gateway, c clock.Clock, logger *log.Logger, opts ...Option) *Gateway {
 	g := &Gateway{
 		settings: s, clock: c, log: logger,
 		store:     platform.NewStore(s.Store.Address),
@@ -76,6 +88,8 @@
 		crashes:   poison.NewLedger(),
 		nearness:  map[routing.RouteName]map[topology.ZoneID]float64{},
 		delegates: delegate.NewClient(),
+		metrics:   newCounters(),
+		dropped:   func() int64 { return 0 },
 		seeds:     s.Peers,
 		estimates: map[routing.RouteName]*fanout.Estimate{},
 		listings:  map[string]parsedListing{},
@@ -84,6 +98,9 @@
 	g.delegated = delegate.NewServer(g.runSearch)
 	self := placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity}
 	g.placing = placing.NewSet(self, g.random)
+	for _, o := range opts {
+		o(g)
+	}
 	g.targets = replica.NewSet(s.Zone, g.random)
 	g.budget = budget.New(budget.Terms{
 		Window: clock.Duration(s.Repeats.WindowSeconds) * clock.Second,
@@ -105,8 +122,10 @@
 	peers := http.NewServeMux()
 	peers.Handle("GET "+delegate.Path, g.delegated)
 	peers.Handle("GET "+relay.Path, relay.NewServer(g.views, g.heartbeat(), waitChange))
+	published := http.NewServeMux()
+	published.Handle("GET /metrics", g.metrics.handler)
 	for address, handler := range map[string]http.Handler{
-		g.settings.Listen.Readiness: readiness, g.settings.Listen.Peers: peers,
+		g.settings.Listen.Readiness: readiness, g.settings.Listen.Peers: peers, g.settings.Listen.Metrics: published,
 	} {
 		if err := serveInternal(address, handler); err != nil {
 			return err
@@ -176,10 +195,15 @@
 		case <-ticker.C:
 		}
 		g.pool.Sweep()
+		version := int64(0)
 		g.mu.Lock()
 		ended := g.targets.Expire(g.clock.Now())
+		if g.table != nil {
+			version = int64(g.table.Config.Version)
+		}
 		g.mu.Unlock()
 		g.pool.Forget(ended)
+		g.metrics.update(version, g.views.age(), g.pool.Opened(), g.dropped())
 	}
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -8,30 +8,52 @@
 	"knapweedstall/platform"
 )
 
-// record logs how a request that this instance ran was decided.
+const (
+	// maxTroubles bounds the sends that one log line names.
+	maxTroubles = 8
+	// sampleEvery is how many complete requests one log line stands for.
+	sampleEvery = 200
+)
+
+// record logs and counts a request that this instance ran.
 func (g *Gateway) record(q *request) {
+	took := g.clock.Now().Sub(q.arrived)
+	g.mu.Lock()
+	sends, repeats := q.call.Sends()
+	missing := q.call.Missing()
+	sampled := false
 	if q.state == fanout.Complete {
+		g.completed++
+		sampled = g.completed%sampleEvery == 1
+	}
+	g.mu.Unlock()
+	g.metrics.request(q.state, took, len(missing), repeats)
+	if q.state == fanout.Complete && !sampled {
 		return
 	}
 	g.mu.Lock()
-	sends, repeats := q.call.Sends()
-	missing := q.call.Missing()
-	reasons := q.call.Reasons()
+	troubles := q.call.Troubles(maxTroubles)
 	g.mu.Unlock()
-	g.log.Info("request", "id", q.out.ID, "outcome", string(q.state), "route", q.route.Name, "tookMs", int64(g.clock.Now().Sub(q.arrived)),
-		"sends", sends, "repeats", repeats, "missing", missing, "reasons", reasons)
+	g.log.Info("request", "id", q.out.ID, "outcome", string(q.state), "route", q.route.Name, "tookMs", int64(took),
+		"version", q.version, "viewAgeMs", int64(g.views.age()),
+		"sends", sends, "repeats", repeats, "missing", missing, "troubles", troubles)
 }
 
-// recordDelegated logs a request that another instance ran.
+// recordDelegated logs and counts a request that another instance ran. That one
+// logs why.
 func (g *Gateway) recordDelegated(q *request, runner *placing.Runner, state fanout.State, missing int) {
+	took := g.clock.Now().Sub(q.arrived)
+	g.metrics.request(state, took, missing, 0)
+	g.metrics.delegated.Inc(1)
 	if state == fanout.Complete {
 		return
 	}
-	g.log.Info("request", "id", q.out.ID, "outcome", string(state), "route", q.route.Name, "tookMs", int64(g.clock.Now().Sub(q.arrived)),
-		"runner", runner.ID, "missing", missing)
+	g.log.Info("request", "id", q.out.ID, "outcome", string(state), "route", q.route.Name, "tookMs", int64(took),
+		"version", q.version, "runner", runner.ID, "missing", missing)
 }
 
-// recordRefusal logs a request that was sent nowhere.
+// recordRefusal logs and counts a request that was sent nowhere.
 func (g *Gateway) recordRefusal(r *http.Request, reason string) {
-	g.log.Info("request", "id", platform.RequestID(r.Header), "outcome", "refused", "reason", reason)
+	g.metrics.refusals.Inc(1)
+	g.log.Info("request", "id", platform.RequestID(r.Header), "outcome", "notSent", "reason", reason, "viewAgeMs", int64(g.views.age()))
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -58,6 +58,7 @@
 	terms    fanout.Terms
 	out      upstream.Request
 	arrived  clock.Time
+	version  routing.Version // of the configuration
 	print    poison.Fingerprint
 
 	ctx    context.Context // of the sends
@@ -105,7 +106,7 @@
 		return
 	}
 	q := g.newRequest(r, route, body, arrived)
-	q.print = print
+	q.print, q.version = print, table.Config.Version
 	if route.IsSearch() && q.delegate(w, r, table) {
 		return
 	}
@@ -226,6 +227,7 @@
 	g := q.g
 	remaining := q.terms.End.Sub(g.clock.Now())
 	res := g.pool.Send(q.ctx, &q.out, id, address, remaining)
+	g.metrics.send(res.Outcome)
 	if res.Broken && q.ctx.Err() == nil {
 		go g.investigate(q, id, address)
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -119,6 +119,7 @@
 		}
 		rests[address] = g.clock.Now().Add(candidateRest)
 		if followed {
+			g.metrics.lost.Inc(1)
 			g.log.Info("source lost", "source", address, "err", err)
 			return true
 		}
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -4,12 +4,11 @@
 	"net/http"
 	"time"
 
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/node"
+	iometrics "knapweedstall/io/metrics"
 )
 
 const metricsPeriod = time.Second
@@ -17,27 +16,22 @@
 // metrics publishes what the instance counts through tally.
 type metrics struct {
 	scope    tally.Scope
-	reporter prometheus.Reporter
+	served   http.Handler
 	last     node.Counters
 	lastSent int64
 	latency  tally.Histogram
 }
 
 func newMetrics() *metrics {
-	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	// The scope reports by itself for as long as the process lives.
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "knapweedstall", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-	}, metricsPeriod)
+	scope, handler := iometrics.NewScope(metricsPeriod)
 	buckets := tally.DurationBuckets{
 		time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
 		55 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second,
 	}
-	return &metrics{scope: scope, reporter: reporter, latency: scope.Histogram("search_latency", buckets)}
+	return &metrics{scope: scope, served: handler, latency: scope.Histogram("search_latency", buckets)}
 }
 
-func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+func (m *metrics) handler() http.Handler { return m.served }
 
 func (m *metrics) searched(d clock.Duration) { m.latency.RecordDuration(d.Std()) }
 
--- a/io/delegate/client.go
+++ b/io/delegate/client.go
@@ -105,7 +105,7 @@
 func (c *Client) open(l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Std())
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, nil)
+	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, nil) //nolint:bodyclose // Dial closes it
 	if err != nil {
 		l.failed = err
 		close(l.ready)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -134,7 +134,7 @@
 func dial(ctx context.Context, address string, have map[string]view.Revision) (*websocket.Conn, error) {
 	short, cancel := context.WithTimeout(ctx, helloTimeout.Std())
 	defer cancel()
-	c, _, err := websocket.Dial(short, "ws://"+address+Path, nil)
+	c, _, err := websocket.Dial(short, "ws://"+address+Path, nil) //nolint:bodyclose // Dial closes it
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -123,7 +123,7 @@
 func (p *Pool) read(c *conn, r *Request) (res Result, reusable bool) {
 	request := &http.Request{Method: r.Method}
 	for strays := 0; ; strays++ {
-		resp, err := http.ReadResponse(c.reader, request)
+		resp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // readBody closes it
 		if err != nil {
 			return Result{Outcome: replica.Lost, Err: err, Broken: true}, false
 		}
--- a/io/upstream/send_test.go
+++ b/io/upstream/send_test.go
@@ -23,7 +23,6 @@
 // standIn is a target that answers each connection by a script.
 type standIn struct {
 	listener net.Listener
-	accepted chan net.Conn
 	requests chan *http.Request
 }
 
