Notice a silent store within 1.5 s, and decline searches while shutting down

A watching instance now asks the store for something small every 700 ms (a stale read, a tenth of a call) and tells its followers at once when that fails.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -16,6 +16,9 @@
 	"knapweedstall/io/upstream"
 )
 
+// rerunTime is what a search needs at least to be run again.
+const rerunTime = 20 * clock.Millisecond
+
 // answerMargin is what an instance that runs a search for another one keeps of
 // the time for the way back.
 const answerMargin = 5 * clock.Millisecond
@@ -45,7 +48,10 @@
 	g.placing.Done(runner, err != nil && ctx.Err() == nil, g.clock.Now())
 	g.mu.Unlock()
 	var notSent *delegate.NotSentError
+	cutShort := fanout.State(answer.State) == fanout.TimedOut && q.terms.End.Sub(g.clock.Now()) > rerunTime
 	switch {
+	case err == nil && cutShort: // the other instance has shut down
+		q.terms.Repeat = true
 	case err == nil && !answer.Declined:
 		q.answerDelegated(w, runner, answer)
 		return true
@@ -123,7 +129,7 @@
 	g.mu.Lock()
 	table := g.table
 	g.mu.Unlock()
-	if table == nil || int64(table.Config.Version) != s.Version {
+	if g.stopping.Load() || table == nil || int64(table.Config.Version) != s.Version {
 		// A search must not fall back to an earlier configuration than the one
 		// that its caller's instance has in force, nor run ahead of it.
 		return delegate.Answer{Declined: true}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,17 +20,61 @@
 	// lostAfter is how long a call may fail until other instances are told that
 	// changes may be missing. A connection that was cut is opened again by then.
 	lostAfter = 400 * clock.Millisecond
+	// A silent store must be noticed soon enough for another instance to be
+	// followed before a configuration is due, 3 s after it was accepted.
+	probePeriod  = 700 * clock.Millisecond
+	probeTimeout = 400 * clock.Millisecond
+	probeTries   = 2 // one answer may be lost
 	// noWait makes a watch return what is known at once.
 	noWait = clock.Millisecond
+	// callTimeout bounds a call besides the time that a watch waits.
+	callTimeout = clock.Second
+	// firstTimeout bounds the first watch, which shows whether the store can be
+	// reached at all.
+	firstTimeout = 500 * clock.Millisecond
 )
 
-// followStore keeps all copies up to date from the store until ctx is done.
+// followStore keeps all copies up to date from the store until ctx is done. It
+// begins anew when the way to the store has gone silent, since a watch on it
+// would wait in vain.
 func (g *Gateway) followStore(ctx context.Context) {
-	var wait sync.WaitGroup
-	for _, kind := range followedKinds {
-		wait.Go(func() { g.followKind(ctx, kind) })
+	for ctx.Err() == nil {
+		attempt, stop := context.WithCancel(ctx)
+		var wait sync.WaitGroup
+		for _, kind := range followedKinds {
+			wait.Go(func() { g.followKind(attempt, kind) })
+		}
+		g.probeStore(attempt)
+		stop()
+		wait.Wait()
+	}
+}
+
+// probeStore asks the store for something small again and again. It returns
+// when the store no longer answers though it did before, or ctx is done.
+func (g *Gateway) probeStore(ctx context.Context) {
+	answered := clock.Time(0) // when the store last did
+	for {
+		sleep(ctx, probePeriod)
+		asked := g.clock.Now()
+		var err error
+		for range probeTries {
+			if _, err = g.store.List(ctx, platform.KindEvacuations, true, probeTimeout); err == nil {
+				break
+			}
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			answered = asked
+		case answered != 0:
+			g.metrics.lost.Inc(1)
+			g.log.Warn("store does not answer", "sinceMs", int64(g.clock.Now().Sub(answered)), "err", err)
+			g.views.lost(answered)
+			return
+		}
 	}
-	wait.Wait()
 }
 
 // followKind keeps the copy of one kind up to date from the store. While the
@@ -84,7 +128,7 @@
 // step makes one call of the store and applies what it returns.
 func (g *Gateway) step(ctx context.Context, kind string, list, stale bool, wait clock.Duration) (changed bool, err error) {
 	if list {
-		k, err := g.store.List(ctx, kind, stale)
+		k, err := g.store.List(ctx, kind, stale, callTimeout)
 		if err != nil {
 			return false, err
 		}
@@ -97,7 +141,11 @@
 		return false, nil
 	}
 	have := g.views.kind(kind)
-	events, at, err := g.store.Watch(ctx, kind, have.Revision, wait)
+	timeout := callTimeout
+	if wait == noWait {
+		timeout = firstTimeout
+	}
+	events, at, err := g.store.Watch(ctx, kind, have.Revision, wait, timeout)
 	if err != nil {
 		return false, err
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -228,6 +228,9 @@
 	remaining := q.terms.End.Sub(g.clock.Now())
 	res := g.pool.Send(q.ctx, &q.out, id, address, remaining)
 	g.metrics.send(res.Outcome)
+	if res.Outcome == replica.Lost {
+		g.log.Info("send lost", "id", q.out.ID, "service", s.Service, "target", id, "err", res.Err)
+	}
 	if res.Broken && q.ctx.Err() == nil {
 		go g.investigate(q, id, address)
 	}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -266,7 +266,7 @@
 }
 
 func (g *Gateway) readInstances(ctx context.Context, stale bool) {
-	k, err := g.store.List(ctx, platform.KindInstances, stale)
+	k, err := g.store.List(ctx, platform.KindInstances, stale, callTimeout)
 	if err != nil {
 		g.log.Debug("instances not listed", "err", err)
 		return
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -68,8 +68,7 @@
 	}
 	v.kinds[name] = k
 	v.apply(name, k)
-	close(v.changed)
-	v.changed = make(chan struct{})
+	v.wake()
 }
 
 // setWatched tells whether the store answers a watch of the kind.
@@ -82,6 +81,25 @@
 	v.watched[name] = watched
 }
 
+// lost notes that the store has been out of reach since at, and tells those that
+// follow this instance at once.
+func (v *views) lost(at clock.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, name := range followedKinds {
+		if v.watched[name] {
+			v.watched[name], v.fresh[name] = false, at
+		}
+	}
+	v.wake()
+}
+
+// wake tells the followers to look again. The caller holds mu.
+func (v *views) wake() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
 // take brings the copies up to date with another instance's frame.
 func (v *views) take(f relay.Frame) {
 	v.mu.Lock()
