--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -111,12 +111,12 @@
 	took    clock.Duration
 }
 
-// state returns the outcome, or that there is none yet.
-func (a *attempt) state() string {
+// trouble describes the send to a target of the service.
+func (a *attempt) trouble(service routing.ServiceName, now clock.Time) Trouble {
 	if !a.ended {
-		return "underWay"
+		return Trouble{service, a.target.ID, "underWay", now.Sub(a.started)}
 	}
-	return string(a.outcome)
+	return Trouble{service, a.target.ID, string(a.outcome), a.took}
 }
 
 // Call is the state of one request.
@@ -432,9 +432,9 @@
 	return fmt.Sprintf("%s/%s/%s/%d", t.Service, t.Target, t.Outcome, t.Took)
 }
 
-// Troubles returns what went wrong with the services that have not answered, at
-// most n of them.
-func (c *Call) Troubles(n int) []Trouble {
+// Troubles returns what went wrong with the services that have not answered
+// until now, at most n of them.
+func (c *Call) Troubles(n int, now clock.Time) []Trouble {
 	var out []Trouble
 	for i := range c.shards {
 		s := &c.shards[i]
@@ -443,7 +443,7 @@
 		}
 		for _, a := range c.attempts {
 			if a.shard == i {
-				out = append(out, Trouble{s.service, a.target.ID, a.state(), a.took})
+				out = append(out, a.trouble(s.service, now))
 			}
 		}
 		if s.reason != replica.Selected {
--- a/core/node/command.go
+++ b/core/node/command.go
@@ -122,7 +122,7 @@
 // LogRecord is one structured log line.
 type LogRecord struct {
 	Level Level
-	Code  string // stable; docs/operations.md says what to do
+	Code  string // stable; docs/OPERATIONS.md says what to do
 	Attrs []Attr
 }
 
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -89,14 +89,14 @@
 	code := read(t, "../instance/metrics.go")
 	names := found(t, code, `\{"([a-z_]+)", `, 16)
 	names = append(names, found(t, code, `(?:Gauge|Histogram)\("([a-z_]+)"`, 2)...)
-	wantRows(t, "operations.md", names)
+	wantRows(t, "OPERATIONS.md", names)
 }
 
 // Guards against log codes that no page explains.
 func TestLogCodes(t *testing.T) {
 	names := found(t, sources(t, "../core/node"), `logf\([^,]+, "(\w+)"`, 9)
 	names = append(names, found(t, sources(t, "../instance"), `"code", "(\w+)"`, 3)...)
-	wantRows(t, "operations.md", names)
+	wantRows(t, "OPERATIONS.md", names)
 }
 
 // Guards against error codes and reasons that no page explains to callers.
@@ -125,7 +125,7 @@
 
 // Guards against choices that rest on a test or benchmark that is gone.
 func TestNamedTestsExist(t *testing.T) {
-	for _, page := range []string{"choices.md", "operations.md", "install.md"} {
+	for _, page := range []string{"choices.md", "OPERATIONS.md", "install.md"} {
 		text := read(t, page)
 		for _, m := range regexp.MustCompile("`([a-z/0-9]+)\\.((?:Test|Benchmark|Fuzz)\\w+)`").FindAllStringSubmatch(text, -1) {
 			paths, err := filepath.Glob(filepath.Join("..", m[1], "*_test.go"))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,7 @@
 	address   string // of the store
 	targets   map[string]*platformtest.Target
 	instances int
+	logger    *log.Logger // of the instances
 }
 
 // instance is a running gateway.
@@ -38,7 +39,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}}
+	w := &world{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}, logger: log.New(io.Discard)}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.CloseClientConnections)
 	w.address = strings.TrimPrefix(server.URL, "http://")
@@ -108,7 +109,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{settings: s, stop: stop, stopped: make(chan error, 1)}
-	g := gateway.New(s, clock.NewSystem(), log.New(io.Discard))
+	g := gateway.New(s, clock.NewSystem(), w.logger.With("instance", string(s.Instance)))
 	go func() { in.stopped <- g.Serve(ctx) }()
 	w.t.Cleanup(stop)
 	w.eventually("the instance is ready", func() bool { return in.ready() })
@@ -145,6 +146,9 @@
 
 var requests int
 
+// lastRequest returns the id of the last request.
+func lastRequest() string { return fmt.Sprintf("request-%d", requests) }
+
 // ask sends a request to the instance.
 func (in *instance) ask(t *testing.T, method, path, body string) reply {
 	t.Helper()
@@ -154,7 +158,7 @@
 		t.Fatal(err)
 	}
 	r.Host = "h.example"
-	r.Header.Set("X-Request-Id", fmt.Sprintf("request-%d", requests))
+	r.Header.Set("X-Request-Id", lastRequest())
 	r.Header.Set("X-Request-Deadline", "2000")
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -32,7 +32,7 @@
 		return
 	}
 	g.mu.Lock()
-	troubles := q.call.Troubles(maxTroubles)
+	troubles := q.call.Troubles(maxTroubles, g.clock.Now())
 	g.mu.Unlock()
 	g.log.Info("request", "id", q.out.ID, "outcome", string(q.state), "route", q.route.Name, "tookMs", int64(took),
 		"version", q.version, "viewAgeMs", int64(g.views.age()),
