Learn which targets shed, and send again to one that shed

A target's shed rate now lowers its share, a target that shed may get the request again after 10 ms, and a shard of a search waits up to 0.6 of the objective. An instance hands over a search only if that takes at most 0.6 of its own time: equal instances handed each other searches on guesses.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/replica"
@@ -92,9 +93,10 @@
 	reached   int  // sends that may have reached a target, including those under way
 	sends     int
 	underWay  int
-	tried     []topology.TargetID
-	hedgeAt   clock.Time // when the send under way is overdue; 0 when it no longer matters
-	blockedAt clock.Time // when to look for a target again; 0 when not blocked
+	tried     []topology.TargetID // targets that may not get it again
+	shed      []topology.TargetID // of these, the ones that only shed it
+	hedgeAt   clock.Time          // when the send under way is overdue; 0 when it no longer matters
+	blockedAt clock.Time          // when to look for a target again; 0 when not blocked
 	reason    replica.Reason
 	retry     clock.Time
 }
@@ -166,6 +168,12 @@
 		return
 	}
 	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, now)
+	if choice.Reason == replica.Unlisted && len(s.shed) > 0 {
+		// All others were tried; one that shed the request may take it now.
+		s.tried = slices.DeleteFunc(s.tried, func(id topology.TargetID) bool { return slices.Contains(s.shed, id) })
+		s.shed = nil
+		choice = c.targets.Pick(s.service, c.table.Service(s.service), s.tried, now)
+	}
 	if choice.Target == nil {
 		if repeat {
 			c.budget.Refund(s.service, now)
@@ -219,6 +227,9 @@
 	if outcome.NotRun() {
 		s.ran--
 	}
+	if outcome == replica.Shed {
+		s.shed = append(s.shed, a.target.ID)
+	}
 	if outcome == replica.Unsent {
 		s.reached--
 		if a.repeat {
--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -19,6 +19,7 @@
 	hopAcross  = 3.0  // to one of another zone
 	acrossCost = 4.0  // of fetching all parts from other zones: a round trip, and traffic that has its price
 	minGain    = 1.0  // that a hand-over must save
+	maxShare   = 0.6  // of the own cost that it may cost; what others run besides is not known
 	closeBy    = 1.0  // difference at which two instances are equally good
 )
 
@@ -84,7 +85,7 @@
 // this one. A search that is given to another instance counts until Done.
 func (s *Set) Place(shards int, near Near, now clock.Time) *Runner {
 	own := s.cost(s.self, s.own, shards, near)
-	best, limit := (*Runner)(nil), own-minGain
+	best, limit := (*Runner)(nil), min(own-minGain, maxShare*own)
 	bestCost, equals := 0.0, 0
 	for _, r := range s.list {
 		if now.Before(r.downUntil) {
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -251,7 +251,9 @@
 	for range min(t.stalled, 4) {
 		cost *= stalledFactor
 	}
-	w := 1 / (cost * cost)
+	// A shed request costs a repeat, of which there are few.
+	served := 1 - t.currentShedRate(now)
+	w := served * served * served / (cost * cost)
 	if t.Zone == s.zone {
 		w *= localFactor
 	}
@@ -297,8 +299,10 @@
 	switch r.Outcome {
 	case Answered, Failed:
 		t.failures, t.downUntil = 0, 0
+		t.observeShed(false, now)
 	case Shed:
 		t.failures, t.downUntil = 0, 0
+		t.observeShed(true, now)
 		t.shedUntil = now.Add(shedPause)
 	case Replaced:
 		t.downUntil = now.Add(replacedPause)
--- a/core/replica/set_test.go
+++ b/core/replica/set_test.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// TestSheddingTargetLosesTraffic guards the shared limit of repeats: each request
+// that a target sheds costs one.
+func TestSheddingTargetLosesTraffic(t *testing.T) {
+	s := newSet(1, listing("a", "z1"), listing("b", "z1"))
+	for i := range 10 {
+		report(t, s, "b", replica.Result{Outcome: replica.Shed}, clock.Time(100+20*i))
+	}
+	if got := shares(s, 1000, 320)["b"]; got > 100 {
+		t.Errorf("%d of 1000 requests went to it at once, want at most 100", got)
+	}
+	if got := shares(s, 1000, 60_000)["b"]; got < 350 {
+		t.Errorf("%d of 1000 requests went to it a minute later, want about half", got)
+	}
+}
+
 // TestStalledTargetIsAvoided guards against more requests queueing at a target
 // that has stopped answering.
 func TestStalledTargetIsAvoided(t *testing.T) {
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -38,7 +38,7 @@
 	maxDown   = clock.Second
 	// shedPause keeps requests away from a target that has just shed one; it is
 	// about the work time of a few queued requests.
-	shedPause = 30 * clock.Millisecond
+	shedPause = 10 * clock.Millisecond
 	// replacedPause keeps requests away from an address that another target
 	// has taken, until the listing says so. Requests that go astray count as
 	// repeats at the other target's service.
@@ -48,6 +48,7 @@
 // Figures of the estimate of a target's slowness.
 const (
 	slownessWeight = 0.3              // of a new sample
+	shedWeight     = 0.15             // of a new sample of the shed rate
 	minSlowness    = 0.25             // bounds keep one sample from
 	maxSlowness    = 20.0             // deciding alone
 	forgetAfter    = 4 * clock.Second // half of what was learned is forgotten after this time
@@ -68,6 +69,9 @@
 	slowness   float64 // latency relative to that of its route; 1 is normal
 	slownessAt clock.Time
 
+	shedRate   float64 // part of the requests that it sheds
+	shedRateAt clock.Time
+
 	failures  int // failed connections in a row
 	downUntil clock.Time
 	probing   bool // a send checks whether it is back
@@ -120,6 +124,20 @@
 	t.slownessAt = now
 }
 
+// currentShedRate returns the estimate with old knowledge faded towards 0.
+func (t *Target) currentShedRate(now clock.Time) float64 {
+	age := float64(now.Sub(t.shedRateAt)) / float64(forgetAfter)
+	return t.shedRate / (1 + age*age)
+}
+
+func (t *Target) observeShed(shed bool, now clock.Time) {
+	rate := (1 - shedWeight) * t.currentShedRate(now)
+	if shed {
+		rate += shedWeight
+	}
+	t.shedRate, t.shedRateAt = rate, now
+}
+
 func (t *Target) connectFailed(now clock.Time) {
 	down := firstDown << min(t.failures, 10)
 	t.failures++
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -160,7 +160,7 @@
 		Kind: route.Kind, Services: route.Shards, MaxAttempts: route.MaxAttempts, MinCoverage: route.MinCoverage,
 		End: now.Add(max(s.Remaining, 1)), Repeat: s.Repeat,
 	}
-	t.RefuseBy = now.Add(min(s.Remaining, clock.Duration(refuseShare*float64(route.Objective))))
+	t.RefuseBy = now.Add(min(s.Remaining, clock.Duration(shardWaitShare*float64(route.Objective))))
 	if route.Objective > 0 {
 		t.Early = now.Add(max(s.Early, 1))
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,9 @@
 	// refuseShare is the part of the objective that a request waits for a target
 	// that can take it.
 	refuseShare = 0.2
+	// shardWaitShare is the same for a shard of a search, whose other shards are
+	// under way.
+	shardWaitShare = 0.6
 	// unstatedDeadline holds for callers that state none.
 	unstatedDeadline = 5 * clock.Second
 	// loserTime is how long a send that lost its race may go on, so that its
@@ -189,6 +192,7 @@
 	}
 	if route.IsSearch() {
 		t.MinCoverage = route.MinCoverage
+		t.RefuseBy = arrived.Add(min(limit, clock.Duration(shardWaitShare*float64(route.Objective))))
 		if route.Objective > 0 {
 			t.Early = arrived.Add(clock.Duration(earlyShare * float64(route.Objective)))
 		}
