Weigh the other searches of an instance by the processor time that they take

Cause of a loss on the small deployments since searches are handed over: an instance with two searches in progress counted three times its own cost and handed the next one to an equal instance, a hop more for nothing. Most of the time a search waits for targets, so others now count a quarter.

--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -18,9 +18,12 @@
 	hopInZone  = 1.5  // to hand a search to an instance of the same zone
 	hopAcross  = 3.0  // to one of another zone
 	acrossCost = 4.0  // of fetching all parts from other zones: a round trip, and traffic that has its price
-	minGain    = 1.0  // that a hand-over must save
-	maxShare   = 0.6  // of the own cost that it may cost; what others run besides is not known
-	closeBy    = 1.0  // difference at which two instances are equally good
+	// runningShare is how much of a search's processor time another one that runs
+	// at the same instance delays it by; most of the time both wait for targets.
+	runningShare = 0.25
+	minGain      = 1.0 // that a hand-over must save
+	maxShare     = 0.6 // of the own cost that it may cost; what others run besides is not known
+	closeBy      = 1.0 // difference at which two instances are equally good
 )
 
 // Times after a failure.
@@ -119,7 +122,7 @@
 
 // cost estimates how long a search takes at an instance that runs others.
 func (s *Set) cost(in Instance, running, shards int, near Near) float64 {
-	return float64(shards)*shardCost/in.Capacity*float64(1+running) + acrossCost*(1-near(in.Zone))
+	return float64(shards)*shardCost/in.Capacity*(1+runningShare*float64(running)) + acrossCost*(1-near(in.Zone))
 }
 
 // Own counts a request that this instance runs, until OwnDone.
