Ask a lost store with one cheap call, and soak the instances with faults

The probe waits 1.1 s now, an instance without a source asks with one stale read until the store answers, and the first instances begin to watch before others.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,8 +23,7 @@
 	// A silent store must be noticed soon enough for another instance to be
 	// followed before a configuration is due, 3 s after it was accepted.
 	probePeriod  = 700 * clock.Millisecond
-	probeTimeout = 400 * clock.Millisecond
-	probeTries   = 2 // one answer may be lost
+	probeTimeout = 1100 * clock.Millisecond // a slow store takes some hundred
 	// noWait makes a watch return what is known at once.
 	noWait = clock.Millisecond
 	// callTimeout bounds a call besides the time that a watch waits.
@@ -57,12 +56,7 @@
 	for {
 		sleep(ctx, probePeriod)
 		asked := g.clock.Now()
-		var err error
-		for range probeTries {
-			if _, err = g.store.List(ctx, platform.KindEvacuations, true, probeTimeout); err == nil {
-				break
-			}
-		}
+		err := g.askStore(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -77,6 +71,17 @@
 	}
 }
 
+// askStore reads something small from the store. A connection that breaks is
+// tried again; a store that is silent is not.
+func (g *Gateway) askStore(ctx context.Context) error {
+	started := g.clock.Now()
+	_, err := g.store.List(ctx, platform.KindEvacuations, true, probeTimeout)
+	if err != nil && g.clock.Now().Sub(started) < probeTimeout {
+		_, err = g.store.List(ctx, platform.KindEvacuations, true, probeTimeout)
+	}
+	return err
+}
+
 // followKind keeps the copy of one kind up to date from the store. While the
 // store is out of reach, it takes newer copies from other instances.
 func (g *Gateway) followKind(ctx context.Context, kind string) {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -39,6 +39,9 @@
 	patience = 400 * clock.Millisecond
 	// startPatience is how long the first instance has at the start.
 	startPatience = clock.Second
+	// awaitPeriod is how often an instance without a source asks whether the
+	// store is back.
+	awaitPeriod   = 800 * clock.Millisecond
 	maxNeighbours = 2 // instances of other zones that a watching one follows
 
 	listInstances = 15 * clock.Second // between two reads of the instances
@@ -68,6 +71,9 @@
 
 // watchSelf watches the store until a candidate was followed instead.
 func (g *Gateway) watchSelf(ctx context.Context, rests map[string]clock.Time) {
+	if g.awaitStore(ctx, rests) {
+		return
+	}
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
 	g.log.Info("watching the store")
@@ -83,6 +89,29 @@
 	}
 }
 
+// awaitStore waits until the store answers, and takes newer copies from other
+// instances meanwhile. It asks with one cheap call, because all instances wait
+// during an outage. It returns true when a candidate was followed instead.
+func (g *Gateway) awaitStore(ctx context.Context, rests map[string]clock.Time) bool {
+	for away := false; ctx.Err() == nil; away = true {
+		if err := g.askStore(ctx); err == nil {
+			// The first instances begin to watch before the others do.
+			candidates := g.candidates()
+			if away && len(candidates) > 0 {
+				sleep(ctx, patience*clock.Duration(len(candidates)))
+				clear(rests)
+			}
+			return away && g.followAny(ctx, candidates, rests, func() {})
+		}
+		g.syncFromPeer(ctx)
+		if g.followAny(ctx, g.candidates(), rests, func() {}) {
+			return true
+		}
+		sleep(ctx, g.jitter(awaitPeriod))
+	}
+	return true
+}
+
 // readOnce takes a first copy of each kind, from the store or another instance.
 func (g *Gateway) readOnce(ctx context.Context) {
 	for pause := firstTry; ctx.Err() == nil; pause = min(2*pause, lastTry) {
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"knapweedstall/cmd"
+	"knapweedstall/platform/platformtest"
+)
+
+// programVariable makes the test binary behave as the program.
+const programVariable = "KNAPWEEDSTALL_SOAK_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(cmd.Main(os.Args))
+	}
+	os.Exit(m.Run())
+}
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 2 * time.Second
+
+// world is a store and targets in this process, and instances in processes of
+// their own that reach the store through a proxy.
+type world struct {
+	t       *testing.T
+	store   *platformtest.Store
+	targets []*platformtest.Target
+	nodes   []*node
+	version int
+}
+
+// node is an instance: its process, and the proxy on its way to the store.
+type node struct {
+	settings string // path of the settings file
+	callers  string
+	ready    string
+	proxy    *proxy
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	logs    bytes.Buffer
+	done    chan struct{}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newWorld(t *testing.T, instances int) *world {
+	w := &world{t: t, store: platformtest.NewStore()}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.CloseClientConnections)
+	for _, service := range append([]string{"once"}, shards...) {
+		for i := range 2 {
+			target := platformtest.StartTarget(w.store, fmt.Sprintf("%s-%d", service, i), service, "z1", record(service))
+			t.Cleanup(target.Close)
+			w.targets = append(w.targets, target)
+		}
+	}
+	w.configure()
+	var peers []string
+	for i := range instances {
+		n := &node{callers: freeAddress(t), ready: freeAddress(t), proxy: newProxy(t, strings.TrimPrefix(server.URL, "http://"))}
+		peer := freeAddress(t)
+		peers = append(peers, `"`+peer+`"`)
+		n.settings = filepath.Join(t.TempDir(), "gateway.hujson")
+		text := fmt.Sprintf(`{"instance": "i%d", "zone": "z%d", "capacity": %v, "peers": [%s],
+			"listen": {"callers": %q, "readiness": %q, "peers": %q, "metrics": %q},
+			"store": {"address": %q, "catchUpMs": 4000, "configDueMs": 3000},
+			"repeats": {"windowSeconds": 10, "ratio": 0.2, "slack": 200}, "shutdown": {"graceSeconds": 2}}`,
+			i, i%2, 0.1+float64(i%3), strings.Join(peers, ","), n.callers, n.ready, peer, freeAddress(t), n.proxy.address())
+		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.nodes = append(w.nodes, n)
+		n.start(t, nil)
+	}
+	t.Cleanup(func() {
+		for _, n := range w.nodes {
+			n.kill()
+		}
+	})
+	return w
+}
+
+// configure writes the next version. Each has a route of its own, which tells
+// which version is in force.
+func (w *world) configure() {
+	w.version++
+	route := func(name, prefix, kind string, more map[string]any) map[string]any {
+		more["name"], more["host"], more["pathPrefix"], more["kind"] = name, host, prefix, kind
+		more["timeoutMs"], more["latencySloMs"], more["maxAttempts"] = 1000, 200, 2
+		return more
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version, "backends": []any{},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"routes": []any{
+			route("search", "/search/", "idempotent", map[string]any{"gather": shards, "topK": 2, "minCoverage": 0.5}),
+			route("once", "/once/", "non_idempotent", map[string]any{"backend": "once"}),
+			route("version", fmt.Sprintf("/version-%d/", w.version), "idempotent", map[string]any{"backend": "once"}),
+		},
+	})
+}
+
+// start starts a process of the instance after an earlier one has ended, unless
+// another one was started meanwhile.
+func (n *node) start(t *testing.T, after *exec.Cmd) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != after {
+		return
+	}
+	p := exec.Command(os.Args[0], "gateway", "-settings", n.settings)
+	p.Env = append(os.Environ(), programVariable+"=1")
+	p.Stdout, p.Stderr = &n.logs, &n.logs
+	if err := p.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	done := make(chan struct{})
+	n.process, n.done = p, done
+	go func() {
+		_ = p.Wait() // how it ended is seen by its signal
+		close(done)
+	}()
+}
+
+// signal sends a signal to the process of the instance, and returns the process
+// and what is closed when it has ended.
+func (n *node) signal(s syscall.Signal) (*exec.Cmd, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.process.Process.Signal(s) // it may have ended
+	return n.process, n.done
+}
+
+// kill ends the process, waits for its end and returns it.
+func (n *node) kill() *exec.Cmd {
+	process, ended := n.signal(syscall.SIGKILL)
+	<-ended
+	return process
+}
+
+func (n *node) isReady() bool {
+	c := http.Client{Timeout: 300 * time.Millisecond}
+	resp, err := c.Get("http://" + n.ready + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
