--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -4,7 +4,6 @@
 package fanout
 
 import (
-	"fmt"
 	"slices"
 
 	"knapweedstall/core/clock"
@@ -113,14 +112,6 @@
 	took    clock.Duration
 }
 
-// trouble describes the send to a target of the service.
-func (a *attempt) trouble(service routing.ServiceName, now clock.Time) Trouble {
-	if !a.ended {
-		return Trouble{service, a.target.ID, "underWay", now.Sub(a.started)}
-	}
-	return Trouble{service, a.target.ID, string(a.outcome), a.took}
-}
-
 // Call is the state of one request.
 type Call struct {
 	terms    Terms
@@ -340,17 +331,6 @@
 	return c.answered > 0 && float64(c.answered) >= c.terms.MinCoverage*float64(len(c.shards))
 }
 
-// Missing returns the services that have not answered.
-func (c *Call) Missing() []routing.ServiceName {
-	var missing []routing.ServiceName
-	for i := range c.shards {
-		if !c.shards[i].answered {
-			missing = append(missing, c.shards[i].service)
-		}
-	}
-	return missing
-}
-
 // State returns what becomes of the call at now. Once it is final, no answer
 // counts any more.
 func (c *Call) State(now clock.Time) State {
@@ -408,58 +388,3 @@
 	}
 	return n
 }
-
-// Retry returns when a refused caller may be served, or 0 if that is unknown.
-func (c *Call) Retry() clock.Time {
-	var latest clock.Time
-	for i := range c.shards {
-		if s := &c.shards[i]; s.hopeless && latest.Before(s.retry) {
-			latest = s.retry
-		}
-	}
-	return latest
-}
-
-// Sends returns the number of sends so far, and how many of them were repeats.
-func (c *Call) Sends() (total, repeats int) {
-	for _, a := range c.attempts {
-		if a.repeat {
-			repeats++
-		}
-	}
-	return len(c.attempts), repeats
-}
-
-// Trouble is a send that brought no answer in time, or a service that got none.
-type Trouble struct {
-	Service routing.ServiceName
-	Target  topology.TargetID // "" when no target could take the request
-	Outcome string            // of the send, "underWay", or why there was no target
-	Took    clock.Duration
-}
-
-// String returns "service/target/outcome/tookMs".
-func (t Trouble) String() string {
-	return fmt.Sprintf("%s/%s/%s/%d", t.Service, t.Target, t.Outcome, t.Took)
-}
-
-// Troubles returns what went wrong with the services that have not answered
-// until now, at most n of them.
-func (c *Call) Troubles(n int, now clock.Time) []Trouble {
-	var out []Trouble
-	for i := range c.shards {
-		s := &c.shards[i]
-		if s.answered {
-			continue
-		}
-		for _, a := range c.attempts {
-			if a.shard == i {
-				out = append(out, a.trouble(s.service, now))
-			}
-		}
-		if s.reason != replica.Selected {
-			out = append(out, Trouble{Service: s.service, Outcome: string(s.reason)})
-		}
-	}
-	return out[:min(n, len(out))]
-}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -48,10 +48,10 @@
 			return Account{}, err
 		}
 		for _, l := range lines {
-			switch {
-			case l.Fields["id"] == id:
+			switch l.Fields["id"] {
+			case id:
 				account.Lines = append(account.Lines, l)
-			case l.Fields["id"] == "":
+			case "":
 				state = append(state, l)
 			}
 		}
