Leave out shards whose targets answer too late, as far as an answer can

When both targets of more shards are slow than an answer may leave out, every search asked all of them; they queued, and none answered in time. A target that answered too late three times in a row now gets a request every 50 to 800 ms, and a search asks only as many such shards as it needs, a different one each time.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -4,6 +4,7 @@
 package fanout
 
 import (
+	"math"
 	"slices"
 
 	"knapweedstall/core/clock"
@@ -14,7 +15,7 @@
 
 // Targets selects targets and learns from outcomes.
 type Targets interface {
-	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, now clock.Time) replica.Choice
+	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, forced bool, now clock.Time) replica.Choice
 	Stalled(t *replica.Target)
 	Ended(t *replica.Target, r replica.Result, now clock.Time)
 }
@@ -122,13 +123,14 @@
 	shards   []shard
 	attempts []attempt
 	answered int
+	started  clock.Time
 	given    bool // the state was final once
 	sends    []Send
 }
 
 // New returns a Call and its first sends.
 func New(terms Terms, table *routing.Table, targets Targets, budget Budget, latency Latency, now clock.Time) (*Call, []Send) {
-	c := &Call{terms: terms, table: table, targets: targets, budget: budget, latency: latency}
+	c := &Call{terms: terms, table: table, targets: targets, budget: budget, latency: latency, started: now}
 	c.shards = make([]shard, len(terms.Services))
 	for i, name := range terms.Services {
 		c.shards[i].service = name
@@ -137,11 +139,34 @@
 		} else {
 			budget.Request(name, now)
 		}
-		c.send(i, now)
+		c.send(i, false, now)
 	}
+	c.forcePaced(now)
 	return c, c.take()
 }
 
+// forcePaced sends to as many of the services whose targets answer too late as
+// an answer needs. The other ones are left out: asking all of them each time
+// would make each of them later still.
+func (c *Call) forcePaced(now clock.Time) {
+	var paced []int
+	hopeless := 0
+	for i := range c.shards {
+		switch s := &c.shards[i]; {
+		case s.reason == replica.Paced:
+			paced = append(paced, i)
+		case s.hopeless:
+			hopeless++
+		}
+	}
+	needed := int(math.Ceil(c.terms.MinCoverage*float64(len(c.shards)))) - (len(c.shards) - hopeless - len(paced))
+	for k := range min(needed, len(paced)) {
+		i := paced[(int(now)+k)%len(paced)] // a different one each time
+		c.shards[i].hopeless, c.shards[i].reason = false, replica.Selected
+		c.send(i, true, now)
+	}
+}
+
 func (c *Call) take() []Send {
 	out := c.sends
 	c.sends = nil
@@ -149,8 +174,9 @@
 }
 
 // send sends to a target of shard i, if the budget and a target allow it.
-// Otherwise the shard is blocked or hopeless, unless a send is under way.
-func (c *Call) send(i int, now clock.Time) {
+// Otherwise the shard is blocked or hopeless, unless a send is under way. A
+// forced send goes to a target that answers too late if there is no other.
+func (c *Call) send(i int, forced bool, now clock.Time) {
 	s := &c.shards[i]
 	s.blockedAt = 0
 	repeat := s.reached > 0
@@ -158,12 +184,12 @@
 		s.hopeless = s.underWay == 0
 		return
 	}
-	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, now)
+	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, forced, now)
 	if choice.Reason == replica.Unlisted && len(s.shed) > 0 {
 		// All others were tried; one that shed the request may take it now.
 		s.tried = slices.DeleteFunc(s.tried, func(id topology.TargetID) bool { return slices.Contains(s.shed, id) })
 		s.shed = nil
-		choice = c.targets.Pick(s.service, c.table.Service(s.service), s.tried, now)
+		choice = c.targets.Pick(s.service, c.table.Service(s.service), s.tried, forced, now)
 	}
 	if choice.Target == nil {
 		if repeat {
@@ -196,7 +222,7 @@
 		at = choice.Retry
 	}
 	switch {
-	case choice.Reason == replica.Unlisted || c.terms.RefuseBy.Before(at):
+	case choice.Reason == replica.Unlisted || choice.Reason == replica.Paced || c.terms.RefuseBy.Before(at):
 		s.hopeless = true
 	default:
 		s.blockedAt = at
@@ -212,7 +238,7 @@
 	a.ended = true
 	took := now.Sub(a.started)
 	a.outcome, a.took = outcome, took
-	c.targets.Ended(a.target, replica.Result{Outcome: outcome, Slowness: c.slowness(outcome, took), Stalled: a.stalled}, now)
+	c.targets.Ended(a.target, replica.Result{Outcome: outcome, Slowness: c.slowness(outcome, took), Stalled: a.stalled, Late: c.late(took)}, now)
 	s := &c.shards[a.shard]
 	s.underWay--
 	if outcome.NotRun() {
@@ -243,6 +269,12 @@
 	return c.take()
 }
 
+// late reports whether an answer after took comes when the call was answered
+// without it.
+func (c *Call) late(took clock.Duration) bool {
+	return c.terms.Early != 0 && took >= c.terms.Early.Sub(c.started)
+}
+
 func (c *Call) slowness(outcome replica.Outcome, took clock.Duration) float64 {
 	if outcome != replica.Answered && outcome != replica.Canceled && outcome != replica.Lost {
 		return 0
@@ -261,7 +293,7 @@
 		s.hopeless = true
 		return
 	}
-	c.send(i, now)
+	c.send(i, true, now)
 }
 
 func (c *Call) mayRepeat(s *shard, notRun bool) bool {
@@ -286,7 +318,7 @@
 			c.hedge(i, now)
 		}
 		if s.blockedAt != 0 && !now.Before(s.blockedAt) {
-			c.send(i, now)
+			c.send(i, true, now)
 		}
 	}
 	return c.take()
@@ -303,7 +335,7 @@
 		}
 	}
 	if c.terms.Kind == routing.Idempotent && c.mayRepeat(s, false) {
-		c.send(i, now)
+		c.send(i, false, now)
 	}
 }
 
--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -53,6 +53,7 @@
 type target struct {
 	free  [2]clock.Time // when each slot is free
 	phase clock.Duration
+	slow  float64 // factor on the work; 0 for 1
 }
 
 // serve returns when a request that arrives at now is answered.
@@ -65,6 +66,9 @@
 	if into := (clock.Duration(start) + s.phase) % pausePeriod; into < pauseLength {
 		start = start.Add(pauseLength - into)
 	}
+	if s.slow > 0 {
+		work = clock.Duration(s.slow * float64(work))
+	}
 	s.free[slot] = start.Add(work)
 	return s.free[slot]
 }
@@ -76,6 +80,7 @@
 	random  *rand.Rand
 	targets map[topology.TargetID]*target
 	hedging bool
+	picks   fanout.Targets // nil for the world's
 
 	took    []clock.Duration
 	missing int
@@ -113,10 +118,16 @@
 func (l *load) start(names []routing.ServiceName, now clock.Time) {
 	terms := search(names...)
 	terms.MinCoverage, terms.Early, terms.End = loadCoverage, now.Add(clock.Duration(loadEarlyShare*float64(loadObjective))), now.Add(1200)
-	if !l.hedging {
-		terms.MaxAttempts = 1
+	targets := fanout.Targets(l.world.targets)
+	if l.picks != nil {
+		targets = l.picks
+	}
+	terms.MaxAttempts = max(terms.MaxAttempts, 1)
+	if l.hedging {
+		terms.MaxAttempts = 2
 	}
-	call, sends := l.world.call(terms, now)
+	terms.RefuseBy = now.Add(20)
+	call, sends := fanout.New(terms, l.world.table, targets, l.world.budget, l.world.latency, now)
 	done := false
 	var step func(now clock.Time, sends []fanout.Send)
 	step = func(now clock.Time, sends []fanout.Send) {
@@ -173,3 +184,37 @@
 	}
 	t.Logf("p50 %d, p90 %d, p99 %d ms, missing %d of %d, repeats %d; without hedges p90 %d ms", l.quantile(0.5), l.quantile(0.9), l.quantile(0.99), l.missing, n*loadServices, l.repeats, baseline.quantile(0.9))
 }
+
+// unpaced sends to targets that answer too late as to any other.
+type unpaced struct{ *replica.Set }
+
+func (u unpaced) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, _ bool, now clock.Time) replica.Choice {
+	return u.Set.Pick(name, svc, excluded, true, now)
+}
+
+// inTime returns the share of the answers within the objective.
+func (l *load) inTime() float64 {
+	n, _ := slices.BinarySearch(l.took, loadObjective+1)
+	return float64(n) / float64(len(l.took))
+}
+
+// TestLateShardsArePaced plays four services whose targets are all four times
+// as slow, more than an answer may leave out. Asked by every search, they queue
+// and none of them answers in time; a search must ask only as many as it needs.
+func TestLateShardsArePaced(t *testing.T) {
+	play := func(picks func(*world) fanout.Targets) *load {
+		l := newLoad(true)
+		l.picks = picks(l.world)
+		for _, id := range []topology.TargetID{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"} {
+			l.targets[id].slow = 4
+		}
+		l.run()
+		return l
+	}
+	paced := play(func(w *world) fanout.Targets { return w.targets })
+	baseline := play(func(w *world) fanout.Targets { return unpaced{w.targets} })
+	t.Logf("in time: %.3f, unpaced %.3f; p50 %d ms, unpaced %d ms", paced.inTime(), baseline.inTime(), paced.quantile(0.5), baseline.quantile(0.5))
+	if got, base := paced.inTime(), baseline.inTime(); got < 2*base {
+		t.Errorf("%.3f of the answers in time, want at least twice the %.3f without pacing", got, base)
+	}
+}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -41,6 +41,8 @@
 	Busy Reason = "busy"
 	// Cold: the cold targets bear no more now.
 	Cold Reason = "cold"
+	// Paced: the targets answer too late, and have just got a request.
+	Paced Reason = "paced"
 )
 
 // Choice is the result of Pick.
@@ -145,8 +147,9 @@
 
 // Pick selects a target of the service that is not excluded and counts a send
 // to it; the caller reports the outcome with Ended. svc is nil when the
-// configuration says nothing of the service.
-func (s *Set) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, now clock.Time) Choice {
+// configuration says nothing of the service. A forced pick takes a target that
+// is paced.
+func (s *Set) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, forced bool, now clock.Time) Choice {
 	var best *Target
 	var weight float64
 	failed := Choice{Reason: Unlisted}
@@ -155,7 +158,11 @@
 			if t.leaving() != lastResort || t.expired(now) || s.evacuated[t.Zone] || slices.Contains(excluded, t.ID) {
 				continue
 			}
-			if reason, retry := s.unusable(t, svc, now); reason != Selected {
+			reason, retry := s.unusable(t, svc, now)
+			if reason == Selected && !forced && now.Before(t.pacedUntil) {
+				reason, retry = Paced, t.pacedUntil
+			}
+			if reason != Selected {
 				failed = worse(failed, Choice{Reason: reason, Retry: retry})
 				continue
 			}
@@ -178,6 +185,7 @@
 		best.coldTokens.take(s.coldRate(svc), now)
 	}
 	best.inFlight++
+	best.sent(now)
 	if best.failures > 0 {
 		best.probing = true
 	}
@@ -270,6 +278,7 @@
 	// abandoned send it is a lower bound. 0 means that nothing was learned.
 	Slowness float64
 	Stalled  bool // Stalled was called for this send
+	Late     bool // it took so long that an answer is of no use
 }
 
 // Outcome is what became of a send.
@@ -310,6 +319,9 @@
 		t.connectFailed(now)
 	case Lost, Canceled:
 	}
+	if r.Late || r.Outcome == Answered {
+		t.observeLate(r.Late)
+	}
 	if r.Slowness > 0 {
 		t.observe(r.Slowness, now)
 	}
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -54,6 +54,14 @@
 	forgetAfter    = 4 * clock.Second // half of what was learned is forgotten after this time
 )
 
+// Figures of pacing a target that answers too late.
+const (
+	paceFrom   = 3 // late answers in a row; a pause of a target makes one or two late
+	maxLate    = 7
+	lateRelief = 2 // by an answer in time
+	firstPace  = 50 * clock.Millisecond
+)
+
 // Target is one back-end server as this instance sees it. Times are zero when
 // they never happened.
 type Target struct {
@@ -72,6 +80,9 @@
 	shedRate   float64 // part of the requests that it sheds
 	shedRateAt clock.Time
 
+	late       int        // answers in a row that came too late to be of use
+	pacedUntil clock.Time // until when a search that can do without it leaves it alone
+
 	failures  int // failed connections in a row
 	downUntil clock.Time
 	probing   bool // a send checks whether it is back
@@ -138,6 +149,23 @@
 	t.shedRate, t.shedRateAt = rate, now
 }
 
+// observeLate learns whether the target answers in time. One that doesn't gets
+// fewer requests, so that those it gets don't wait behind others.
+func (t *Target) observeLate(late bool) {
+	if !late {
+		t.late = max(0, t.late-lateRelief)
+		return
+	}
+	t.late = min(t.late+1, maxLate)
+}
+
+// sent notes a send, after which a target that answers too late rests.
+func (t *Target) sent(now clock.Time) {
+	if t.late >= paceFrom {
+		t.pacedUntil = now.Add(firstPace << (t.late - paceFrom))
+	}
+}
+
 func (t *Target) connectFailed(now clock.Time) {
 	down := firstDown << min(t.failures, 10)
 	t.failures++
