--- /dev/null
+++ b/gateway/metrics_test.go
@@ -0,0 +1,33 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// TestMetricsAreServed guards the counters that docs/OPERATIONS.md names.
+func TestMetricsAreServed(t *testing.T) {
+	w := newWorld(t)
+	in := w.start(nil)
+	in.ask(t, "GET", "/search/1", "")
+	names := []string{"requests", "request_latency", "sends", "config_version", "view_age_ms", "target_connections_opened"}
+	w.eventually("the metrics are published", func() bool {
+		resp, err := http.Get("http://" + in.settings.Listen.Metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return false
+		}
+		for _, name := range names {
+			if !strings.Contains(string(text), "knapweedstall_"+name) {
+				return false
+			}
+		}
+		return true
+	})
+}
