--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -11,9 +11,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
 
-	"knapweedstall/core/clock"
 	"knapweedstall/gateway"
 	"knapweedstall/io/logsink"
+	"knapweedstall/io/osclock"
 	"knapweedstall/settings"
 )
 
@@ -58,7 +58,7 @@
 	sink := logsink.New(os.Stdout)
 	defer sink.Flush(flushTime)
 	logger := newLogger(sink, s.LogLevel).With("instance", string(s.Instance))
-	g := gateway.New(s, clock.NewSystem(), logger, gateway.WithDroppedLines(sink.Dropped))
+	g := gateway.New(s, osclock.New(), logger, gateway.WithDroppedLines(sink.Dropped))
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go c.reload(ctx, g, hup, logger)
--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -42,20 +42,3 @@
 	// values that cross machines, such as a start-by time.
 	UnixMillis() int64
 }
-
-// System is the operating system's clock.
-type System struct {
-	origin time.Time
-}
-
-// NewSystem returns a System whose Now starts at 1, so that the zero Time can
-// stand for "never".
-func NewSystem() *System {
-	return &System{origin: time.Now().Add(-time.Millisecond)}
-}
-
-// Now implements Clock.
-func (s *System) Now() Time { return Time(time.Since(s.origin) / time.Millisecond) }
-
-// UnixMillis implements Clock.
-func (s *System) UnixMillis() int64 { return time.Now().UnixMilli() }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,9 +14,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
 
-	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
 	"knapweedstall/gateway"
+	"knapweedstall/io/osclock"
 	"knapweedstall/platform/platformtest"
 	"knapweedstall/settings"
 )
@@ -109,7 +109,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{settings: s, stop: stop, stopped: make(chan error, 1)}
-	g := gateway.New(s, clock.NewSystem(), w.logger.With("instance", string(s.Instance)))
+	g := gateway.New(s, osclock.New(), w.logger.With("instance", string(s.Instance)))
 	go func() { in.stopped <- g.Serve(ctx) }()
 	w.t.Cleanup(stop)
 	w.eventually("the instance is ready", func() bool { return in.ready() })
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -21,6 +21,7 @@
 	"knapweedstall/core/topology"
 	"knapweedstall/io/caller"
 	"knapweedstall/io/operator"
+	"knapweedstall/io/osclock"
 	"knapweedstall/io/peer"
 	"knapweedstall/io/platform"
 	"knapweedstall/io/target"
@@ -81,7 +82,7 @@
 // New returns an instance that is not yet running.
 func New(s settings.Settings, incarnation topology.Incarnation, logger *log.Logger, opts ...Option) *Instance {
 	in := &Instance{
-		settings: s, clock: clock.NewSystem(), log: logger, trace: s.Trace,
+		settings: s, clock: osclock.New(), log: logger, trace: s.Trace,
 		self: topology.Member{
 			Ref:     topology.InstanceRef{ID: s.Instance, Incarnation: incarnation},
 			Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, State: topology.MemberLive,
--- a/io/upstream/send_test.go
+++ b/io/upstream/send_test.go
@@ -16,6 +16,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/replica"
+	"knapweedstall/io/osclock"
 	"knapweedstall/io/upstream"
 	"knapweedstall/platform"
 )
@@ -135,7 +136,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStandIn(t, c.script)
-			if diff := cmp.Diff(c.want, send(t.Context(), upstream.NewPool(clock.NewSystem()), s, request("1"))); diff != "" {
+			if diff := cmp.Diff(c.want, send(t.Context(), upstream.NewPool(osclock.New()), s, request("1"))); diff != "" {
 				t.Errorf("result (-want +got):\n%s", diff)
 			}
 		})
@@ -161,7 +162,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newStandIn(t, c.scripts...)
-			p := upstream.NewPool(clock.NewSystem())
+			p := upstream.NewPool(osclock.New())
 			for _, id := range []string{"1", "2"} {
 				want := got{replica.Answered, "yes", "st-" + id}
 				if diff := cmp.Diff(want, send(t.Context(), p, s, request(id))); diff != "" {
@@ -181,7 +182,7 @@
 func TestNoConnection(t *testing.T) {
 	s := newStandIn(t)
 	time.Sleep(20 * time.Millisecond)
-	if diff := cmp.Diff(got{Outcome: replica.Unsent}, send(t.Context(), upstream.NewPool(clock.NewSystem()), s, request("1"))); diff != "" {
+	if diff := cmp.Diff(got{Outcome: replica.Unsent}, send(t.Context(), upstream.NewPool(osclock.New()), s, request("1"))); diff != "" {
 		t.Errorf("result (-want +got):\n%s", diff)
 	}
 }
@@ -198,7 +199,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	if diff := cmp.Diff(got{Outcome: replica.Canceled}, send(ctx, upstream.NewPool(clock.NewSystem()), s, request("1"))); diff != "" {
+	if diff := cmp.Diff(got{Outcome: replica.Canceled}, send(ctx, upstream.NewPool(osclock.New()), s, request("1"))); diff != "" {
 		t.Errorf("result (-want +got):\n%s", diff)
 	}
 	if err := <-closed; !errors.Is(err, io.EOF) {
@@ -215,7 +216,7 @@
 		"X-Hop": {"1"}, "X-Own": {"a", "b"}, "Keep-Alive": {"timeout=5"}, "Transfer-Encoding": {"chunked"},
 	}
 	r := &upstream.Request{ID: "1", Method: "POST", Head: platform.Head("POST", "/p/a%2Fb?x=1", "h.example", h, 4), Body: []byte("body")}
-	send(t.Context(), upstream.NewPool(clock.NewSystem()), s, r)
+	send(t.Context(), upstream.NewPool(osclock.New()), s, r)
 	sent := <-s.requests
 	left := sent.Header.Get("X-Request-Deadline")
 	sent.Header.Del("X-Request-Deadline")
