Restart soaked processes as the platform does, and ask for SIGHUP first

Traced by its log, which ends before the first fault's process had logged its start: SIGHUP reached a process that had not asked for it yet and ended it, as the system does by default, and the test started no other. The gateway now asks for SIGHUP before it reads its settings, and the soak restarts a process whenever it ends, and fails if one ends with an exit code other than 0.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -51,6 +51,9 @@
 		f.Usage()
 		return exitUsage
 	}
+	// SIGHUP ends a process that does not ask for it, so it comes first.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	s, err := settings.LoadGateway(c.path)
 	if err != nil {
 		return fail(exitFailure, err)
@@ -59,8 +62,6 @@
 	defer sink.Flush(flushTime)
 	logger := newLogger(sink, s.LogLevel).With("instance", string(s.Instance))
 	g := gateway.New(s, osclock.New(), logger, gateway.WithDroppedLines(sink.Dropped))
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go c.reload(ctx, g, hup, logger)
 	if err := g.Serve(ctx); err != nil {
 		return fail(exitFailure, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,7 +108,7 @@
 	target := s.targets[s.random.IntN(len(s.targets))]
 	switch s.random.IntN(13) {
 	case 0:
-		n.start(s.t, n.kill())
+		n.signal(syscall.SIGKILL)
 	case 1:
 		s.restarts.Go(func() { s.terminate(n) })
 	case 2:
@@ -138,16 +138,15 @@
 	}
 }
 
-// terminate asks the instance to stop, kills it after the grace period as the
-// platform does, and starts it again. A paused process may need that.
+// terminate asks the instance to stop, and kills the same process after the grace
+// period, as the platform does. A paused process may need that.
 func (s *soak) terminate(n *node) {
 	process, ended := n.signal(syscall.SIGTERM)
 	select {
 	case <-ended:
 	case <-time.After(grace):
-		n.kill()
+		_ = process.Process.Kill() // it may have ended just now
 	}
-	n.start(s.t, process)
 }
 
 // heal ends all faults.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -29,6 +29,9 @@
 	os.Exit(m.Run())
 }
 
+// restartDelay is how long the platform waits before it starts a process again.
+const restartDelay = 100 * time.Millisecond
+
 // grace is the time from SIGTERM to SIGKILL.
 const grace = 2 * time.Second
 
@@ -53,6 +56,7 @@
 	process *exec.Cmd
 	logs    bytes.Buffer
 	done    chan struct{}
+	over    bool // no process is started any more
 }
 
 func freeAddress(t *testing.T) string {
@@ -95,7 +99,7 @@
 	}
 	t.Cleanup(func() {
 		for _, n := range w.nodes {
-			n.kill()
+			n.end()
 		}
 	})
 	return w
@@ -112,12 +116,12 @@
 	})
 }
 
-// start starts a process of the instance after an earlier one has ended, unless
-// another one was started meanwhile.
+// start starts a process of the instance after the earlier one has ended, and
+// again whenever it ends, as the platform does.
 func (n *node) start(t *testing.T, after *exec.Cmd) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.process != after {
+	if n.process != after || n.over {
 		return
 	}
 	p := exec.Command(os.Args[0], "gateway", "-settings", n.settings)
@@ -130,8 +134,13 @@
 	done := make(chan struct{})
 	n.process, n.done = p, done
 	go func() {
-		_ = p.Wait() // how it ended is seen by its signal
+		_ = p.Wait() // the state of the process tells how it ended
 		close(done)
+		if status, ok := p.ProcessState.Sys().(syscall.WaitStatus); ok && status.Exited() && status.ExitStatus() != 0 {
+			t.Errorf("an instance ended by itself with status %d", status.ExitStatus())
+		}
+		time.Sleep(restartDelay)
+		n.start(t, p)
 	}()
 }
 
@@ -144,11 +153,13 @@
 	return n.process, n.done
 }
 
-// kill ends the process, waits for its end and returns it.
-func (n *node) kill() *exec.Cmd {
-	process, ended := n.signal(syscall.SIGKILL)
+// end ends the instance for good.
+func (n *node) end() {
+	n.mu.Lock()
+	n.over = true
+	n.mu.Unlock()
+	_, ended := n.signal(syscall.SIGKILL)
 	<-ended
-	return process
 }
 
 func (n *node) isReady() bool {
