--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -29,9 +29,9 @@
 
 // Latency tells how long the parts of a route usually take.
 type Latency interface {
-	Usual() clock.Duration                // mean of answered sends
-	HedgeAfter() clock.Duration           // when a send is overdue
-	Observe(took clock.Duration, ok bool) // records a send that ended
+	Usual() clock.Duration       // median of answered sends
+	HedgeAfter() clock.Duration  // when a send is overdue
+	Observe(took clock.Duration) // records an answered send
 }
 
 // Send tells the driver to send the request to a target.
@@ -229,7 +229,8 @@
 	}
 }
 
-// Ended reports the outcome of a send. took is its latency.
+// Ended reports the outcome of send n at now, and returns the sends that follow
+// from it.
 func (c *Call) Ended(n int, outcome replica.Outcome, now clock.Time) []Send {
 	a := &c.attempts[n]
 	if a.ended {
@@ -254,7 +255,7 @@
 		}
 	}
 	if outcome == replica.Answered {
-		c.latency.Observe(took, true)
+		c.latency.Observe(took)
 		if !s.answered && !c.given {
 			s.answered = true
 			c.answered++
--- a/core/fanout/latency.go
+++ b/core/fanout/latency.go
@@ -43,10 +43,7 @@
 func (e *Estimate) HedgeAfter() clock.Duration { return e.hedge }
 
 // Observe implements Latency.
-func (e *Estimate) Observe(took clock.Duration, ok bool) {
-	if !ok {
-		return
-	}
+func (e *Estimate) Observe(took clock.Duration) {
 	e.ring[e.count%samples] = took
 	e.count++
 	if e.count%refresh != 0 {
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -39,7 +39,6 @@
 	opened    clock.Time
 	idleSince clock.Time
 	idleFor   clock.Duration // how long the target keeps it open
-	used      bool           // an answer was read from it
 }
 
 // Pool keeps idle connections, at most as many as were in use at once.
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -142,7 +142,6 @@
 			}
 			continue
 		}
-		c.used = true
 		if d, ok := keepAlive(resp.Header); ok {
 			c.idleFor = d
 		}
