Report crashes of a handed-over search under the caller's fingerprint

Found on reading the change: the instance that runs a search for another one made the fingerprint anew, from a header that holds the request's id, so that a search that crashes targets looked like a new one each time. The fingerprint now comes with the search. TestCrashesOfHandedOverSearch fails without it.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -9,7 +9,6 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/fanout"
 	"knapweedstall/core/placing"
-	"knapweedstall/core/poison"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/topology"
 	"knapweedstall/io/delegate"
@@ -82,7 +81,7 @@
 	now := q.g.clock.Now()
 	s := delegate.Search{
 		Version: int64(table.Config.Version), Route: string(q.route.Name), RequestID: q.out.ID, Method: q.out.Method,
-		Head: q.out.Head, Body: q.out.Body, Remaining: q.terms.End.Sub(now) - answerMargin,
+		Head: q.out.Head, Body: q.out.Body, Fingerprint: q.print, Remaining: q.terms.End.Sub(now) - answerMargin,
 	}
 	if q.terms.Early != 0 {
 		s.Early = q.terms.Early.Sub(now)
@@ -140,7 +139,7 @@
 	}
 	q := g.openRequest(route, g.clock.Now())
 	q.out = upstream.Request{ID: s.RequestID, Method: s.Method, Head: s.Head, Body: s.Body}
-	q.print, q.version = poison.NewFingerprint("", "", string(s.Head), s.Body), table.Config.Version
+	q.print, q.version = s.Fingerprint, table.Config.Version
 	q.terms = searchTerms(route, q.arrived, s)
 	q.start(table)
 	defer q.finish()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,9 +14,11 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
 
+	"knapweedstall/core/poison"
 	"knapweedstall/core/topology"
 	"knapweedstall/gateway"
 	"knapweedstall/io/osclock"
+	"knapweedstall/platform"
 	"knapweedstall/platform/platformtest"
 	"knapweedstall/settings"
 )
@@ -350,3 +352,28 @@
 		}
 	}
 }
+
+// TestCrashesOfHandedOverSearch guards against a search that crashes targets and
+// looks like a new one each time it is sent: an instance that runs it for another
+// one must report the fingerprint of the caller's request.
+func TestCrashesOfHandedOverSearch(t *testing.T) {
+	w := newWorld(t)
+	w.start(func(s *settings.Gateway) { s.Capacity = 4 })
+	small := w.start(func(s *settings.Gateway) { s.Capacity = 0.05 })
+	time.Sleep(1500 * time.Millisecond) // until the instances are known
+	for _, target := range w.targets {
+		target.SetCrashing(true)
+	}
+	small.ask(t, "GET", "/search/1", "")
+	var names []string
+	w.eventually("crashes are told", func() bool {
+		names = w.store.Names(platform.KindCrashes)
+		return len(names) > 0
+	})
+	want := string(poison.NewFingerprint("GET", host, "/search/1", nil))
+	for _, name := range names {
+		if !strings.HasPrefix(name, want+".") {
+			t.Errorf("crash of %s, want one of the request %s", name, want)
+		}
+	}
+}
--- a/io/delegate/delegate.go
+++ b/io/delegate/delegate.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/poison"
 )
 
 // Path is where an instance takes searches.
@@ -27,6 +28,9 @@
 	Remaining clock.Duration `cbor:"7,keyasint"` // until it is given up
 	Early     clock.Duration `cbor:"8,keyasint"` // until an answer goes out although shards are missing
 	Repeat    bool           `cbor:"9,keyasint"` // targets may have got it before
+	// Fingerprint is that of the caller's request, which a request sent again
+	// has too. Head differs, since it holds the request's id.
+	Fingerprint poison.Fingerprint `cbor:"10,keyasint"`
 }
 
 // Answer is what became of a search.
