--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,7 +121,7 @@
 	readiness.HandleFunc("GET "+platform.ReadinessPath, g.serveReadiness)
 	peers := http.NewServeMux()
 	peers.Handle("GET "+delegate.Path, g.delegated)
-	peers.Handle("GET "+relay.Path, relay.NewServer(g.views, g.heartbeat(), waitChange))
+	peers.Handle("GET "+relay.Path, relay.NewServer(g.views, g.heartbeat()))
 	published := http.NewServeMux()
 	published.Handle("GET /metrics", g.metrics.handler)
 	for address, handler := range map[string]http.Handler{
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"context"
 	"sync"
-	"time"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/view"
@@ -156,16 +154,3 @@
 	}
 	return f, v.changed
 }
-
-// waitChange waits for a change or for d. It returns false when ctx is done.
-func waitChange(ctx context.Context, d clock.Duration, changed <-chan struct{}) bool {
-	timer := time.NewTimer(d.Std())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-changed:
-	}
-	return true
-}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -47,13 +48,11 @@
 type Server struct {
 	source    Source
 	heartbeat clock.Duration
-	wait      func(ctx context.Context, d clock.Duration, changed <-chan struct{}) bool
 }
 
 // NewServer returns a Server that sends a heartbeat at least every heartbeat.
-// wait waits for d or the change; it returns false when ctx is done.
-func NewServer(source Source, heartbeat clock.Duration, wait func(context.Context, clock.Duration, <-chan struct{}) bool) *Server {
-	return &Server{source: source, heartbeat: heartbeat, wait: wait}
+func NewServer(source Source, heartbeat clock.Duration) *Server {
+	return &Server{source: source, heartbeat: heartbeat}
 }
 
 // ServeHTTP implements http.Handler.
@@ -80,12 +79,25 @@
 		for kind, d := range frame.Deltas {
 			have[kind] = d.At
 		}
-		if !s.wait(ctx, s.heartbeat, changed) {
+		if !waitChange(ctx, s.heartbeat, changed) {
 			return
 		}
 	}
 }
 
+// waitChange waits for a change or for d. It returns false when ctx is done.
+func waitChange(ctx context.Context, d clock.Duration, changed <-chan struct{}) bool {
+	timer := time.NewTimer(d.Std())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-changed:
+	}
+	return true
+}
+
 func readHello(ctx context.Context, c *websocket.Conn) (map[string]view.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout.Std())
 	defer cancel()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"context"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -41,20 +40,10 @@
 	s.changed = make(chan struct{})
 }
 
-func waitChange(ctx context.Context, d clock.Duration, changed <-chan struct{}) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d.Std()):
-	case <-changed:
-	}
-	return true
-}
-
 func start(t *testing.T, heartbeat clock.Duration) (*source, string) {
 	objects := map[string]view.Object{"a": {Revision: 3, Spec: []byte("x")}}
 	s := &source{kind: view.Listed(objects, 5), changed: make(chan struct{})}
-	h := httptest.NewServer(relay.NewServer(s, heartbeat, waitChange))
+	h := httptest.NewServer(relay.NewServer(s, heartbeat))
 	t.Cleanup(h.CloseClientConnections)
 	return s, strings.TrimPrefix(h.URL, "http://")
 }
