Answer incomplete searches in time for callers with a short objective

Cause: a search that waits for a missing shard was answered at 0.85 of its objective. With an objective of 60 ms that leaves 9 ms, but a caller 3 ms away that opens a connection needs 12 ms, and a handed-over search 2 ms more.

Ruled out: targets (parts arrive after 5 to 9 ms, hedged ones after 16 to 50 ms), processor time (a search of 90 shards starts its sends within 2 ms).

Change: fanout.EarlyAnswer keeps 15 ms of the objective for the way, at most half of it. Long objectives (120 ms) keep their 0.85. The terms and the shard of a call have files of their own.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -42,38 +42,6 @@
 	Service routing.ServiceName
 }
 
-// State says what a call needs.
-type State string
-
-// States of a call.
-const (
-	Open      State = "open"      // waits for outcomes or for time
-	Complete  State = "complete"  // every service answered
-	Partial   State = "partial"   // enough services answered to answer now
-	Failure   State = "failure"   // the request may have run, and there is no answer
-	Refused   State = "refused"   // the request has not run and will not
-	TimedOut  State = "timedOut"  // out of time; it may have run
-	Expired   State = "expired"   // out of time; it has not run
-	Abandoned State = "abandoned" // the caller has left
-)
-
-// Terms are what a call keeps to.
-type Terms struct {
-	Kind        routing.Kind
-	Services    []routing.ServiceName // asked one target each
-	MaxAttempts int                   // targets that may run the request, for each service
-	MinCoverage float64               // least share of the services in an answer
-	Repeat      bool                  // targets may have got the request before
-
-	// Early is when an answer goes out although services are missing, if
-	// MinCoverage is reached; 0 for never.
-	Early clock.Time
-	// RefuseBy is until when the call waits for a target that can take it.
-	RefuseBy clock.Time
-	// End is when the call is given up.
-	End clock.Time
-}
-
 // Bounds of the work on one service.
 const (
 	// extraSends is how many sends beyond MaxAttempts a service gets when
@@ -84,35 +52,6 @@
 	blockedRetry = 5 * clock.Millisecond
 )
 
-// shard is the state of one service of a call.
-type shard struct {
-	service   routing.ServiceName
-	answered  bool
-	hopeless  bool // no send is under way and none will follow
-	ran       int  // sends that may have run, including those under way
-	reached   int  // sends that may have reached a target, including those under way
-	sends     int
-	underWay  int
-	tried     []topology.TargetID // targets that may not get it again
-	shed      []topology.TargetID // of these, the ones that only shed it
-	hedgeAt   clock.Time          // when the send under way is overdue; 0 when it no longer matters
-	blockedAt clock.Time          // when to look for a target again; 0 when not blocked
-	reason    replica.Reason
-	retry     clock.Time
-}
-
-// attempt is one send.
-type attempt struct {
-	shard   int
-	target  *replica.Target
-	started clock.Time
-	stalled bool
-	ended   bool
-	repeat  bool // counted by the budget
-	outcome replica.Outcome
-	took    clock.Duration
-}
-
 // Call is the state of one request.
 type Call struct {
 	terms    Terms
--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -17,17 +17,28 @@
 // The load: searches over 20 services of two targets, which run two requests at
 // a time and pause for 150 ms every 3.6 s, each at its own time.
 const (
-	loadServices   = 20
-	loadPerSecond  = 60
-	loadSeconds    = 30
-	loadObjective  = 120 * clock.Millisecond
-	pauseLength    = 150 * clock.Millisecond
-	pausePeriod    = 3600 * clock.Millisecond
-	meanWork       = 15.0 // ms
-	workSpread     = 0.35
-	networkTime    = 2 * clock.Millisecond
-	loadCoverage   = 0.89
-	loadEarlyShare = 0.85
+	loadServices  = 20
+	loadPerSecond = 60
+	loadSeconds   = 30
+	pauseLength   = 150 * clock.Millisecond
+	pausePeriod   = 3600 * clock.Millisecond
+	workSpread    = 0.35
+	networkTime   = 2 * clock.Millisecond
+	loadCoverage  = 0.89
+	// connectAndBack is what a caller 3 ms away waits for in addition to the time
+	// within the instance: a new connection, the request and the answer.
+	connectAndBack = 12 * clock.Millisecond
+)
+
+// kind is a kind of search.
+type kind struct {
+	objective clock.Duration
+	work      float64 // mean work of a shard, in ms
+}
+
+var (
+	fullSearch  = kind{objective: 120, work: 15}
+	quickSearch = kind{objective: 60, work: 5}
 )
 
 // event is something that happens at a time.
@@ -75,6 +86,7 @@
 
 // load plays the load and keeps what callers got.
 type load struct {
+	kind    kind
 	world   *world
 	queue   events
 	random  *rand.Rand
@@ -87,12 +99,12 @@
 	repeats int
 }
 
-func newLoad(hedging bool) *load {
+func newLoad(kind kind, hedging bool) *load {
 	var names []routing.ServiceName
 	for i := range loadServices {
 		names = append(names, routing.ServiceName(rune('a'+i)))
 	}
-	l := &load{world: newWorld(names...), random: rand.New(rand.NewPCG(3, 4)), targets: map[topology.TargetID]*target{}, hedging: hedging}
+	l := &load{kind: kind, world: newWorld(names...), random: rand.New(rand.NewPCG(3, 4)), targets: map[topology.TargetID]*target{}, hedging: hedging}
 	for i := range loadServices {
 		for _, copy := range []string{"1", "2"} {
 			id := topology.TargetID(string(rune('a'+i)) + copy)
@@ -117,7 +129,7 @@
 
 func (l *load) start(names []routing.ServiceName, now clock.Time) {
 	terms := search(names...)
-	terms.MinCoverage, terms.Early, terms.End = loadCoverage, now.Add(clock.Duration(loadEarlyShare*float64(loadObjective))), now.Add(1200)
+	terms.MinCoverage, terms.Early, terms.End = loadCoverage, now.Add(fanout.EarlyAnswer(l.kind.objective)), now.Add(1200)
 	targets := fanout.Targets(l.world.targets)
 	if l.picks != nil {
 		targets = l.picks
@@ -132,7 +144,7 @@
 	var step func(now clock.Time, sends []fanout.Send)
 	step = func(now clock.Time, sends []fanout.Send) {
 		for _, s := range sends {
-			work := clock.Duration(math.Round(meanWork * math.Exp(workSpread*l.random.NormFloat64())))
+			work := clock.Duration(math.Round(l.kind.work * math.Exp(workSpread*l.random.NormFloat64())))
 			answer := l.targets[s.Target.ID].serve(now.Add(networkTime), work).Add(networkTime)
 			l.at(answer, func(now clock.Time) { step(now, call.Ended(s.Attempt, replica.Answered, now)) })
 		}
@@ -165,11 +177,11 @@
 // 99 in 100 answers within the objective, nearly complete, within the budget of
 // repeats. Without hedges, every second search meets a pause.
 func TestPausesAreHedged(t *testing.T) {
-	l := newLoad(true)
+	l := newLoad(fullSearch, true)
 	l.run()
 	n := len(l.took)
-	if got := l.quantile(0.99); got > loadObjective {
-		t.Errorf("p99 is %d ms, want at most %d ms", got, loadObjective)
+	if got := l.quantile(0.99); got > l.kind.objective {
+		t.Errorf("p99 is %d ms, want at most %d ms", got, l.kind.objective)
 	}
 	if got := 1 - float64(l.missing)/float64(n*loadServices); got < 0.995 {
 		t.Errorf("mean coverage is %.4f, want at least 0.995", got)
@@ -177,7 +189,7 @@
 	if got := float64(l.repeats) / float64(n*loadServices); got > 0.2 {
 		t.Errorf("%.3f repeats for each send, want at most 0.2", got)
 	}
-	baseline := newLoad(false)
+	baseline := newLoad(fullSearch, false)
 	baseline.run()
 	if got, base := l.quantile(0.9), baseline.quantile(0.9); got > base*3/4 {
 		t.Errorf("p90 is %d ms, want at most three quarters of the %d ms without hedges", got, base)
@@ -185,6 +197,23 @@
 	t.Logf("p50 %d, p90 %d, p99 %d ms, missing %d of %d, repeats %d; without hedges p90 %d ms", l.quantile(0.5), l.quantile(0.9), l.quantile(0.99), l.missing, n*loadServices, l.repeats, baseline.quantile(0.9))
 }
 
+// TestQuickSearchesAreInTime plays one service whose targets are both far too
+// slow, and which is asked all the same, so that no search is complete. The
+// incomplete answers must reach callers that open a connection for each search
+// within the objective, which is short.
+func TestQuickSearchesAreInTime(t *testing.T) {
+	l := newLoad(quickSearch, true)
+	l.picks = unpaced{l.world.targets}
+	l.targets["a1"].slow, l.targets["a2"].slow = 40, 40
+	l.run()
+	if got := l.inTime(); got < 0.95 {
+		t.Errorf("%.3f of the answers in time, want at least 0.95", got)
+	}
+	if got, want := float64(l.missing)/float64(len(l.took)), 1.1; got > want {
+		t.Errorf("%.3f shards missing from an answer, want at most %.1f", got, want)
+	}
+}
+
 // unpaced sends to targets that answer too late as to any other.
 type unpaced struct{ *replica.Set }
 
@@ -192,9 +221,10 @@
 	return u.Set.Pick(name, svc, excluded, true, now)
 }
 
-// inTime returns the share of the answers within the objective.
+// inTime returns the share of the answers that callers get within the
+// objective.
 func (l *load) inTime() float64 {
-	n, _ := slices.BinarySearch(l.took, loadObjective+1)
+	n, _ := slices.BinarySearch(l.took, l.kind.objective-connectAndBack+1)
 	return float64(n) / float64(len(l.took))
 }
 
@@ -203,7 +233,7 @@
 // and none of them answers in time; a search must ask only as many as it needs.
 func TestLateShardsArePaced(t *testing.T) {
 	play := func(picks func(*world) fanout.Targets) *load {
-		l := newLoad(true)
+		l := newLoad(fullSearch, true)
 		l.picks = picks(l.world)
 		for _, id := range []topology.TargetID{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"} {
 			l.targets[id].slow = 4
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,9 +20,6 @@
 
 // Figures of a request's course.
 const (
-	// earlyShare is the part of a search's objective after which an answer goes
-	// out although shards are missing. The rest is for the way back.
-	earlyShare = 0.85
 	// refuseShare is the part of the objective that a request waits for a target
 	// that can take it.
 	refuseShare = 0.2
@@ -192,7 +189,7 @@
 		t.MinCoverage = route.MinCoverage
 		t.RefuseBy = arrived.Add(min(limit, clock.Duration(shardWaitShare*float64(route.Objective))))
 		if route.Objective > 0 {
-			t.Early = arrived.Add(clock.Duration(earlyShare * float64(route.Objective)))
+			t.Early = arrived.Add(fanout.EarlyAnswer(route.Objective))
 		}
 	}
 	return t
