Divide the slack of repeats by who runs searches

Cause: each instance had an equal part of the fixed number of repeats that a service bears in a window. On a deployment of 10 large and 98 small instances the large ones run nearly all searches, so 9 in 10 of the slack lay where it was never used: 2 repeats in 10 s for each shard and instance.

Change: at services that searches ask, the part of an instance follows the square of its processor share (placing.Part); at other services it stays equal. A part that grows because an instance has left counts only after a window, since that instance may have used it: without this rule a planned stop could push the sum above the limit now that the parts are really used.

Ruled out: queues at targets and processor time (cores at most 0.02).

Deployments of equal machines are not affected.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -58,7 +58,9 @@
 type Budget struct {
 	terms    Terms
 	started  clock.Time
-	sharers  int // instances among which the slack is divided; 0 until known
+	shards   part // of the slack at services that searches ask
+	others   part // of the slack at other services
+	isShard  func(routing.ServiceName) bool
 	services map[routing.ServiceName]*service
 }
 
@@ -68,11 +70,35 @@
 func New(terms Terms, now clock.Time) *Budget {
 	terms.Ratio *= share
 	terms.Slack *= share
-	return &Budget{terms: terms, started: now, services: map[routing.ServiceName]*service{}}
+	return &Budget{
+		terms: terms, started: now,
+		isShard:  func(routing.ServiceName) bool { return false },
+		services: map[routing.ServiceName]*service{},
+	}
+}
+
+// SetParts sets which part of the slack, 0 to 1, is this instance's at the
+// services that searches ask, and at the other ones. The parts of all instances
+// add up to 1 at most.
+func (b *Budget) SetParts(shards, others float64, now clock.Time) {
+	b.shards.set(shards, now, b.terms.Window)
+	b.others.set(others, now, b.terms.Window)
 }
 
-// SetSharers sets the number of instances that divide the slack.
-func (b *Budget) SetSharers(n int) { b.sharers = n }
+// SetShards tells which services searches ask.
+func (b *Budget) SetShards(isShard func(routing.ServiceName) bool) { b.isShard = isShard }
+
+// slack returns how many repeats the instance may send to the service that its
+// own requests don't pay for.
+func (b *Budget) slack(name routing.ServiceName, now clock.Time) float64 {
+	if now.Sub(b.started) < b.terms.Window {
+		return 0
+	}
+	if b.isShard(name) {
+		return b.terms.Slack * b.shards.at(now)
+	}
+	return b.terms.Slack * b.others.at(now)
+}
 
 func (b *Budget) slot(now clock.Time) int64 {
 	return int64(now) * slots / int64(b.terms.Window)
@@ -99,10 +125,7 @@
 	s.requests.advance(slot)
 	s.repeats.advance(slot)
 	oldest := s.requests.counts[(slot+1)%(slots+1)]
-	allowed := b.terms.Ratio * float64(s.requests.total-oldest)
-	if b.sharers > 0 && now.Sub(b.started) >= b.terms.Window {
-		allowed += b.terms.Slack / float64(b.sharers)
-	}
+	allowed := b.terms.Ratio*float64(s.requests.total-oldest) + b.slack(name, now)
 	if float64(s.repeats.total+1) > allowed {
 		return false
 	}
--- a/core/fanout/call_test.go
+++ b/core/fanout/call_test.go
@@ -29,7 +29,7 @@
 		table:   routing.NewTable(&routing.Config{}),
 		latency: fanout.NewEstimate(100),
 	}
-	w.budget.SetSharers(1)
+	w.budget.SetParts(1, 1, -20_000)
 	var listings []replica.Listing
 	for _, s := range services {
 		for _, copy := range []string{"1", "2"} {
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -101,15 +101,22 @@
 	byHost   map[string][]*Route // longest prefix first
 	byName   map[RouteName]*Route
 	services map[ServiceName]*Service
+	shards   map[ServiceName]bool
 }
 
 // NewTable returns the Table of c, which must not change afterwards.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: map[string][]*Route{}, byName: map[RouteName]*Route{}, services: map[ServiceName]*Service{}}
+	t := &Table{
+		Config: c, byHost: map[string][]*Route{}, byName: map[RouteName]*Route{},
+		services: map[ServiceName]*Service{}, shards: map[ServiceName]bool{},
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		t.byName[r.Name] = r
+		for _, name := range r.Shards {
+			t.shards[name] = true
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -133,5 +140,8 @@
 // Route returns the route with the name, or nil.
 func (t *Table) Route(name RouteName) *Route { return t.byName[name] }
 
+// IsShard reports whether a search asks the service.
+func (t *Table) IsShard(name ServiceName) bool { return t.shards[name] }
+
 // Service returns what the configuration says of name, or nil.
 func (t *Table) Service(name ServiceName) *Service { return t.services[name] }
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -54,6 +54,7 @@
 		return
 	}
 	g.table = routing.NewTable(c)
+	g.budget.SetShards(g.table.IsShard)
 	clear(g.nearness)
 	named := map[routing.RouteName]bool{}
 	for i := range c.Routes {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -345,8 +345,9 @@
 		g.log.Info("instances known", "instances", len(peers), "before", len(g.peers), "revision", k.Revision)
 	}
 	g.peers = peers
-	g.placing.Update(runners(peers))
-	g.budget.SetSharers(len(peers))
+	instances := runners(peers)
+	g.placing.Update(instances)
+	g.budget.SetParts(placing.Part(g.settings.Instance, instances), 1/float64(max(len(peers), 1)), g.clock.Now())
 	g.targets.SetSharers(len(peers), g.coldTurn)
 }
 
