Say in log and metrics when a shard is missing for lack of repeats

Cause: a repeat that the budget denied left no trace. While targets shed requests, the log named the shed send and nothing after it, so that a search below its coverage looked as if nobody had tried again.

Change: the reason 'budget' among the troubles, 'denied' in the request line and the counter repeats_denied. The test of the budget checks it and failed before.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -62,6 +62,7 @@
 	shards   []shard
 	attempts []attempt
 	answered int
+	denied   int // repeats for lack of budget
 	started  clock.Time
 	given    bool // the state was final once
 	sends    []Send
@@ -120,7 +121,8 @@
 	s.blockedAt = 0
 	repeat := s.reached > 0
 	if repeat && !c.budget.Repeat(s.service, now) {
-		s.hopeless = s.underWay == 0
+		c.denied++
+		s.reason, s.hopeless = OutOfBudget, s.underWay == 0
 		return
 	}
 	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, forced, now)
@@ -140,6 +142,7 @@
 		}
 		return
 	}
+	s.reason = replica.Selected
 	s.tried = append(s.tried, choice.Target.ID)
 	s.sends++
 	s.ran++
--- a/core/fanout/call_test.go
+++ b/core/fanout/call_test.go
@@ -186,7 +186,8 @@
 }
 
 // TestBlockedShardAsksTheBudget guards against repeats that nobody counts: a
-// shard that was shed and then found no target sent again for free.
+// shard that was shed and then found no target sent again for free. The log must
+// say that the budget is why the shard is missing.
 func TestBlockedShardAsksTheBudget(t *testing.T) {
 	w := newWorld("a")
 	w.budget = budget.New(budget.Terms{Window: 10 * clock.Second}, 0) // allows no repeats
@@ -198,4 +199,13 @@
 	if made != 0 {
 		t.Errorf("%d repeats without a budget", made)
 	}
+	if diff := cmp.Diff(fanout.Counts{Made: 1, Denied: 1}, call.Counts()); diff != "" {
+		t.Errorf("sends (-want +got):\n%s", diff)
+	}
+	want := []fanout.Trouble{{Service: "a", Target: "a1", Outcome: "shed", Took: 2}, {Service: "a", Outcome: "budget"}}
+	got := call.Troubles(8, 200)
+	got[0].Target = "a1" // either one
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("what the log says (-want +got):\n%s", diff)
+	}
 }
--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -154,8 +154,7 @@
 		done = true
 		l.took = append(l.took, now.Sub(terms.End)+1200)
 		l.missing += len(call.Missing())
-		_, repeats := call.Sends()
-		l.repeats += repeats
+		l.repeats += call.Counts().Repeated
 	}
 	step(now, sends)
 	var tick func(now clock.Time)
--- a/core/fanout/report.go
+++ b/core/fanout/report.go
@@ -39,14 +39,22 @@
 	return latest
 }
 
-// Sends returns the number of sends so far, and how many of them were repeats.
-func (c *Call) Sends() (total, repeats int) {
+// Counts are numbers of sends of a call.
+type Counts struct {
+	Made     int
+	Repeated int // of those made
+	Denied   int // repeats that were not made for lack of budget
+}
+
+// Counts returns the numbers of sends so far.
+func (c *Call) Counts() Counts {
+	n := Counts{Made: len(c.attempts), Denied: c.denied}
 	for _, a := range c.attempts {
 		if a.repeat {
-			repeats++
+			n.Repeated++
 		}
 	}
-	return len(c.attempts), repeats
+	return n
 }
 
 // Trouble is a send that brought no answer in time, or a service that got none.
--- a/core/fanout/shard.go
+++ b/core/fanout/shard.go
@@ -7,6 +7,10 @@
 	"knapweedstall/core/topology"
 )
 
+// OutOfBudget says that a send was not made because the repeats that the service
+// bears are used up.
+const OutOfBudget replica.Reason = "budget"
+
 // shard is the state of one service of a call.
 type shard struct {
 	service   routing.ServiceName
@@ -20,7 +24,7 @@
 	shed      []topology.TargetID // of these, the ones that only shed it
 	hedgeAt   clock.Time          // when the send under way is overdue; 0 when it no longer matters
 	blockedAt clock.Time          // when to look for a target again; 0 when not blocked
-	reason    replica.Reason
+	reason    replica.Reason      // why the last send was not made
 	retry     clock.Time
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,7 @@
 	latency   tally.Histogram
 	coverage  tally.Counter // shards that answers left out
 	repeats   tally.Counter
+	denied    tally.Counter // repeats for lack of budget
 	refusals  tally.Counter // requests that were sent nowhere
 	delegated tally.Counter // searches that other instances ran
 	lost      tally.Counter // times that the store or a source was lost
@@ -45,6 +46,7 @@
 		latency:   scope.Histogram("request_latency", latencyBuckets),
 		coverage:  scope.Counter("shards_missing"),
 		repeats:   scope.Counter("sends_repeated"),
+		denied:    scope.Counter("repeats_denied"),
 		refusals:  scope.Counter("requests_not_sent"),
 		delegated: scope.Counter("searches_delegated"),
 		lost:      scope.Counter("sources_lost"),
@@ -72,13 +74,14 @@
 }
 
 // request counts a request that ended.
-func (c *counters) request(state fanout.State, took clock.Duration, missing, repeats int) {
+func (c *counters) request(state fanout.State, took clock.Duration, missing int, sends fanout.Counts) {
 	if counter := c.requests[state]; counter != nil {
 		counter.Inc(1)
 	}
 	c.latency.RecordDuration(took.Std())
 	c.coverage.Inc(int64(missing))
-	c.repeats.Inc(int64(repeats))
+	c.repeats.Inc(int64(sends.Repeated))
+	c.denied.Inc(int64(sends.Denied))
 }
 
 // send counts a send that ended.
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -19,7 +19,7 @@
 func (g *Gateway) record(q *request) {
 	took := g.clock.Now().Sub(q.arrived)
 	g.mu.Lock()
-	sends, repeats := q.call.Sends()
+	sends := q.call.Counts()
 	missing := q.call.Missing()
 	sampled := false
 	if q.state == fanout.Complete {
@@ -27,7 +27,7 @@
 		sampled = g.completed%sampleEvery == 1
 	}
 	g.mu.Unlock()
-	g.metrics.request(q.state, took, len(missing), repeats)
+	g.metrics.request(q.state, took, len(missing), sends)
 	if q.state == fanout.Complete && !sampled {
 		return
 	}
@@ -36,14 +36,14 @@
 	g.mu.Unlock()
 	g.log.Info("request", "id", q.out.ID, "outcome", string(q.state), "route", q.route.Name, "tookMs", int64(took),
 		"version", q.version, "viewAgeMs", int64(g.views.age()),
-		"sends", sends, "repeats", repeats, "missing", missing, "troubles", troubles)
+		"sends", sends.Made, "repeats", sends.Repeated, "denied", sends.Denied, "missing", missing, "troubles", troubles)
 }
 
 // recordDelegated logs and counts a request that another instance ran. That one
 // logs why.
 func (g *Gateway) recordDelegated(q *request, runner *placing.Runner, state fanout.State, missing int) {
 	took := g.clock.Now().Sub(q.arrived)
-	g.metrics.request(state, took, missing, 0)
+	g.metrics.request(state, took, missing, fanout.Counts{})
 	g.metrics.delegated.Inc(1)
 	if state == fanout.Complete {
 		return
