Send no hedges to targets that are likely to shed them

Change: a pick says what the send is for. A hedge leaves out targets whose shed rate is above 0.25; a send without which there is no answer may go to any.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -15,7 +15,7 @@
 
 // Targets selects targets and learns from outcomes.
 type Targets interface {
-	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, forced bool, now clock.Time) replica.Choice
+	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, purpose replica.Purpose, now clock.Time) replica.Choice
 	Stalled(t *replica.Target)
 	Ended(t *replica.Target, r replica.Result, now clock.Time)
 }
@@ -79,7 +79,7 @@
 		} else {
 			budget.Request(name, now)
 		}
-		c.send(i, false, now)
+		c.send(i, replica.First, now)
 	}
 	c.forcePaced(now)
 	return c, c.take()
@@ -103,7 +103,7 @@
 	for k := range min(needed, len(paced)) {
 		i := paced[(int(now)+k)%len(paced)] // a different one each time
 		c.shards[i].hopeless, c.shards[i].reason = false, replica.Selected
-		c.send(i, true, now)
+		c.send(i, replica.Needed, now)
 	}
 }
 
@@ -114,9 +114,8 @@
 }
 
 // send sends to a target of shard i, if the budget and a target allow it.
-// Otherwise the shard is blocked or hopeless, unless a send is under way. A
-// forced send goes to a target that answers too late if there is no other.
-func (c *Call) send(i int, forced bool, now clock.Time) {
+// Otherwise the shard is blocked or hopeless, unless a send is under way.
+func (c *Call) send(i int, purpose replica.Purpose, now clock.Time) {
 	s := &c.shards[i]
 	s.blockedAt = 0
 	repeat := s.reached > 0
@@ -125,12 +124,12 @@
 		s.reason, s.hopeless = OutOfBudget, s.underWay == 0
 		return
 	}
-	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, forced, now)
+	choice := c.targets.Pick(s.service, c.table.Service(s.service), s.tried, purpose, now)
 	if choice.Reason == replica.Unlisted && len(s.shed) > 0 {
 		// All others were tried; one that shed the request may take it now.
 		s.tried = slices.DeleteFunc(s.tried, func(id topology.TargetID) bool { return slices.Contains(s.shed, id) })
 		s.shed = nil
-		choice = c.targets.Pick(s.service, c.table.Service(s.service), s.tried, forced, now)
+		choice = c.targets.Pick(s.service, c.table.Service(s.service), s.tried, purpose, now)
 	}
 	if choice.Target == nil {
 		if repeat {
@@ -236,7 +235,7 @@
 		s.hopeless = true
 		return
 	}
-	c.send(i, true, now)
+	c.send(i, replica.Needed, now)
 }
 
 func (c *Call) mayRepeat(s *shard, notRun bool) bool {
@@ -261,7 +260,7 @@
 			c.hedge(i, now)
 		}
 		if s.blockedAt != 0 && !now.Before(s.blockedAt) {
-			c.send(i, true, now)
+			c.send(i, replica.Needed, now)
 		}
 	}
 	return c.take()
@@ -278,7 +277,7 @@
 		}
 	}
 	if c.terms.Kind == routing.Idempotent && c.mayRepeat(s, false) {
-		c.send(i, false, now)
+		c.send(i, replica.Hedge, now)
 	}
 }
 
--- a/core/fanout/load_test.go
+++ b/core/fanout/load_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"knapweedstall/core/budget"
 	"knapweedstall/core/clock"
 	"knapweedstall/core/fanout"
 	"knapweedstall/core/replica"
@@ -65,6 +66,7 @@
 	free  [2]clock.Time // when each slot is free
 	phase clock.Duration
 	slow  float64 // factor on the work; 0 for 1
+	shed  float64 // part of the requests that it sheds
 }
 
 // serve returns when a request that arrives at now is answered.
@@ -95,6 +97,7 @@
 	picks   fanout.Targets // nil for the world's
 
 	took    []clock.Duration
+	failed  int
 	missing int
 	repeats int
 }
@@ -144,6 +147,10 @@
 	var step func(now clock.Time, sends []fanout.Send)
 	step = func(now clock.Time, sends []fanout.Send) {
 		for _, s := range sends {
+			if l.random.Float64() < l.targets[s.Target.ID].shed {
+				l.at(now.Add(2*networkTime), func(now clock.Time) { step(now, call.Ended(s.Attempt, replica.Shed, now)) })
+				continue
+			}
 			work := clock.Duration(math.Round(l.kind.work * math.Exp(workSpread*l.random.NormFloat64())))
 			answer := l.targets[s.Target.ID].serve(now.Add(networkTime), work).Add(networkTime)
 			l.at(answer, func(now clock.Time) { step(now, call.Ended(s.Attempt, replica.Answered, now)) })
@@ -152,6 +159,9 @@
 			return
 		}
 		done = true
+		if !slices.Contains([]fanout.State{fanout.Complete, fanout.Partial}, call.State(now)) {
+			l.failed++
+		}
 		l.took = append(l.took, now.Sub(terms.End)+1200)
 		l.missing += len(call.Missing())
 		l.repeats += call.Counts().Repeated
@@ -216,8 +226,8 @@
 // unpaced sends to targets that answer too late as to any other.
 type unpaced struct{ *replica.Set }
 
-func (u unpaced) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, _ bool, now clock.Time) replica.Choice {
-	return u.Set.Pick(name, svc, excluded, true, now)
+func (u unpaced) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, _ replica.Purpose, now clock.Time) replica.Choice {
+	return u.Set.Pick(name, svc, excluded, replica.Needed, now)
 }
 
 // inTime returns the share of the answers that callers get within the
@@ -247,3 +257,41 @@
 		t.Errorf("%.3f of the answers in time, want at least twice the %.3f without pacing", got, base)
 	}
 }
+
+// hedgingAnywhere hedges to targets that shed as to any other.
+type hedgingAnywhere struct{ *replica.Set }
+
+func (h hedgingAnywhere) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, purpose replica.Purpose, now clock.Time) replica.Choice {
+	if purpose == replica.Hedge {
+		purpose = replica.First
+	}
+	return h.Set.Pick(name, svc, excluded, purpose, now)
+}
+
+// TestHedgesSpareRepeats plays services of which one target sheds requests, and
+// five of which both do and are slow, more than an answer may leave out. Repeats
+// are few; hedges to the shedding targets must not take them from searches whose
+// request was shed.
+func TestHedgesSpareRepeats(t *testing.T) {
+	play := func(picks func(*world) fanout.Targets) *load {
+		l := newLoad(fullSearch, true)
+		l.world.budget = budget.New(budget.Terms{Window: 10 * clock.Second, Ratio: 0.2, Slack: 0}, -20_000)
+		l.picks = picks(l.world)
+		for i := range loadServices {
+			l.targets[topology.TargetID(string(rune('a'+i))+"1")].shed = 0.4
+			if i < 5 {
+				l.targets[topology.TargetID(string(rune('a'+i))+"2")].shed = 0.4
+				l.targets[topology.TargetID(string(rune('a'+i))+"1")].slow = 2
+				l.targets[topology.TargetID(string(rune('a'+i))+"2")].slow = 2
+			}
+		}
+		l.run()
+		return l
+	}
+	sparing := play(func(w *world) fanout.Targets { return w.targets })
+	baseline := play(func(w *world) fanout.Targets { return hedgingAnywhere{w.targets} })
+	t.Logf("failed: %d of %d, hedging anywhere %d; missing %d and %d, repeats %d and %d", sparing.failed, len(sparing.took), baseline.failed, sparing.missing, baseline.missing, sparing.repeats, baseline.repeats)
+	if got, base := sparing.failed, baseline.failed; got > base*9/10 {
+		t.Errorf("%d searches failed, want at most nine tenths of the %d with hedges to any target", got, base)
+	}
+}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -43,6 +43,24 @@
 	Cold Reason = "cold"
 	// Paced: the targets answer too late, and have just got a request.
 	Paced Reason = "paced"
+	// Shedding: the targets shed so much that a hedge is not worth a repeat.
+	Shedding Reason = "shedding"
+)
+
+// Purpose says what a send is for.
+type Purpose int
+
+// Purposes.
+const (
+	// First: the service gets the request for the first time. A target that is
+	// paced is left alone.
+	First Purpose = iota
+	// Hedge: another target has the request and is overdue. A target that is
+	// likely to shed it is left alone as well, since that would only use up a
+	// repeat.
+	Hedge
+	// Needed: there is no answer without this send.
+	Needed
 )
 
 // Choice is the result of Pick.
@@ -147,9 +165,8 @@
 
 // Pick selects a target of the service that is not excluded and counts a send
 // to it; the caller reports the outcome with Ended. svc is nil when the
-// configuration says nothing of the service. A forced pick takes a target that
-// is paced.
-func (s *Set) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, forced bool, now clock.Time) Choice {
+// configuration says nothing of the service.
+func (s *Set) Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, purpose Purpose, now clock.Time) Choice {
 	var best *Target
 	var weight float64
 	failed := Choice{Reason: Unlisted}
@@ -159,8 +176,8 @@
 				continue
 			}
 			reason, retry := s.unusable(t, svc, now)
-			if reason == Selected && !forced && now.Before(t.pacedUntil) {
-				reason, retry = Paced, t.pacedUntil
+			if reason == Selected {
+				reason, retry = t.unwanted(purpose, now)
 			}
 			if reason != Selected {
 				failed = worse(failed, Choice{Reason: reason, Retry: retry})
--- a/core/replica/set_test.go
+++ b/core/replica/set_test.go
@@ -28,7 +28,7 @@
 func shares(s *replica.Set, n int, now clock.Time) map[topology.TargetID]int {
 	got := map[topology.TargetID]int{}
 	for range n {
-		if c := s.Pick("s", plain, nil, false, now); c.Target != nil {
+		if c := s.Pick("s", plain, nil, replica.First, now); c.Target != nil {
 			got[c.Target.ID]++
 			s.Ended(c.Target, replica.Result{Outcome: replica.Answered}, now)
 		}
@@ -45,7 +45,7 @@
 			others = append(others, other)
 		}
 	}
-	c := s.Pick("s", plain, others, false, now)
+	c := s.Pick("s", plain, others, replica.Needed, now)
 	if c.Target == nil {
 		t.Fatalf("target %s can't be picked: %s", id, c.Reason)
 	}
@@ -136,11 +136,43 @@
 	}
 }
 
+// TestPurposeOfSend guards against sends that a request can do without going to
+// a target that is likely to answer too late or to shed them, and against a
+// request that needs one being refused because of that.
+func TestPurposeOfSend(t *testing.T) {
+	late := replica.Result{Outcome: replica.Answered, Late: true}
+	shed := replica.Result{Outcome: replica.Shed}
+	for name, c := range map[string]struct {
+		result  replica.Result
+		purpose replica.Purpose
+		want    replica.Reason
+	}{
+		"late, first":     {late, replica.First, replica.Paced},
+		"late, hedge":     {late, replica.Hedge, replica.Paced},
+		"late, needed":    {late, replica.Needed, replica.Selected},
+		"sheds, first":    {shed, replica.First, replica.Selected},
+		"sheds, hedge":    {shed, replica.Hedge, replica.Shedding},
+		"sheds, needed":   {shed, replica.Needed, replica.Selected},
+		"answers, hedge":  {replica.Result{Outcome: replica.Answered}, replica.Hedge, replica.Selected},
+		"answers, needed": {replica.Result{Outcome: replica.Answered}, replica.Needed, replica.Selected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSet(1, listing("a", "z1"))
+			for i := range 5 {
+				report(t, s, "a", c.result, clock.Time(100+20*i))
+			}
+			if diff := cmp.Diff(c.want, s.Pick("s", plain, nil, c.purpose, 200).Reason); diff != "" {
+				t.Errorf("reason (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestStalledTargetIsAvoided guards against more requests queueing at a target
 // that has stopped answering.
 func TestStalledTargetIsAvoided(t *testing.T) {
 	s := newSet(1, listing("a", "z1"), listing("b", "z1"))
-	c := s.Pick("s", plain, []topology.TargetID{"a"}, false, 10)
+	c := s.Pick("s", plain, []topology.TargetID{"a"}, replica.First, 10)
 	s.Stalled(c.Target)
 	if got := shares(s, 1000, 20)["b"]; got > 50 {
 		t.Errorf("%d of 1000 requests went to the stalled target, want at most 50", got)
@@ -173,13 +205,13 @@
 	s.SetSharers(10, func(topology.TargetID, int) bool { return true })
 	svc := &routing.Service{Name: "s", MaxConnections: 50}
 	sent := 0
-	for s.Pick("s", svc, nil, false, 10).Target != nil {
+	for s.Pick("s", svc, nil, replica.First, 10).Target != nil {
 		sent++
 	}
 	if sent > 5 || sent < 2 {
 		t.Errorf("%d requests at the same time to a target with 50 connections for 10 instances", sent)
 	}
-	if got := s.Pick("s", svc, nil, false, 10).Reason; got != replica.Busy {
+	if got := s.Pick("s", svc, nil, replica.First, 10).Reason; got != replica.Busy {
 		t.Errorf("reason %q, want %q", got, replica.Busy)
 	}
 }
@@ -201,7 +233,7 @@
 		var sent []clock.Time
 		for now := clock.Time(2); now < 5000; now += 5 {
 			for _, s := range sets {
-				if c := s.Pick("s", svc, nil, false, now); c.Target != nil {
+				if c := s.Pick("s", svc, nil, replica.First, now); c.Target != nil {
 					sent = append(sent, now)
 					s.Ended(c.Target, replica.Result{Outcome: replica.Answered}, now)
 				}
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -49,6 +49,7 @@
 const (
 	slownessWeight = 0.3              // of a new sample
 	shedWeight     = 0.15             // of a new sample of the shed rate
+	maxHedgeShed   = 0.25             // shed rate up to which a target gets hedges
 	minSlowness    = 0.25             // bounds keep one sample from
 	maxSlowness    = 20.0             // deciding alone
 	forgetAfter    = 4 * clock.Second // half of what was learned is forgotten after this time
@@ -166,6 +167,18 @@
 	}
 }
 
+// unwanted returns why a send for the purpose leaves the target alone, and until
+// when if that is known.
+func (t *Target) unwanted(purpose Purpose, now clock.Time) (Reason, clock.Time) {
+	switch {
+	case purpose != Needed && now.Before(t.pacedUntil):
+		return Paced, t.pacedUntil
+	case purpose == Hedge && t.currentShedRate(now) > maxHedgeShed:
+		return Shedding, 0
+	}
+	return Selected, 0
+}
+
 func (t *Target) connectFailed(now clock.Time) {
 	down := firstDown << min(t.failures, 10)
 	t.failures++
