Soak the links between instances, one-way cuts and lost answers of the store

Until now only the way to the store was proxied, and was silenced in both directions at once. Instances now reach each other through proxies, whose addresses the store stand-in puts into their entries; a link is cut in one direction or both; the store may carry out calls and lose the answers.

Clocks are not faulted: the gateway measures durations with the monotonic clock and reads the time of day nowhere else.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -7,6 +7,14 @@
 	"time"
 )
 
+// direction is a way through a proxy.
+type direction int
+
+const (
+	there direction = iota // to the address
+	back
+)
+
 // proxy passes bytes to an address, and can delay, silence or reset them.
 type proxy struct {
 	listener net.Listener
@@ -14,7 +22,7 @@
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
-	silent bool
+	silent [2]bool // by direction
 	delay  time.Duration
 }
 
@@ -45,12 +53,12 @@
 		p.mu.Lock()
 		p.conns[in], p.conns[out] = true, true
 		p.mu.Unlock()
-		go p.pass(in, out)
-		go p.pass(out, in)
+		go p.pass(in, out, back)
+		go p.pass(out, in, there)
 	}
 }
 
-func (p *proxy) pass(to, from net.Conn) {
+func (p *proxy) pass(to, from net.Conn, way direction) {
 	defer func() { _, _ = to.Close(), from.Close() }()
 	buf := make([]byte, 32<<10)
 	for {
@@ -59,7 +67,7 @@
 			return
 		}
 		p.mu.Lock()
-		silent, delay := p.silent, p.delay
+		silent, delay := p.silent[way], p.delay
 		p.mu.Unlock()
 		time.Sleep(delay)
 		if silent {
@@ -71,11 +79,28 @@
 	}
 }
 
-// set silences or delays what passes from now on.
-func (p *proxy) set(silent bool, delay time.Duration) {
+// silence drops what passes in the given directions from now on, and nothing
+// else.
+func (p *proxy) silence(ways ...direction) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = [2]bool{}
+	for _, way := range ways {
+		p.silent[way] = true
+	}
+}
+
+// slow delays what passes from now on.
+func (p *proxy) slow(delay time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.silent, p.delay = silent, delay
+	p.delay = delay
+}
+
+// heal ends silence and delay.
+func (p *proxy) heal() {
+	p.silence()
+	p.slow(0)
 }
 
 // reset closes all connections.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -106,7 +106,11 @@
 func (s *soak) fault() {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	target := s.targets[s.random.IntN(len(s.targets))]
-	switch s.random.IntN(13) {
+	link := n.toStore
+	if s.random.IntN(2) == 0 {
+		link = n.fromPeer
+	}
+	switch s.random.IntN(15) {
 	case 0:
 		n.signal(syscall.SIGKILL)
 	case 1:
@@ -122,22 +126,38 @@
 	case 5:
 		s.store.Forget()
 	case 6:
-		n.proxy.set(s.random.IntN(2) == 0, 0)
+		s.store.SetLosing(s.random.IntN(2) == 0)
 	case 7:
-		n.proxy.set(false, time.Duration(s.random.IntN(300))*time.Millisecond)
+		s.silence(link)
 	case 8:
-		n.proxy.reset()
+		link.slow(time.Duration(s.random.IntN(300)) * time.Millisecond)
 	case 9:
+		link.reset()
+	case 10, 11:
 		s.configure()
-	case 10:
+	case 12:
 		target.SetShedding(s.random.IntN(2) == 0)
-	case 11:
+	case 13:
 		target.SetBreaking(s.random.IntN(2) == 0)
-	case 12:
+	case 14:
 		target.SetDelay(time.Duration(s.random.IntN(300)) * time.Millisecond)
 	}
 }
 
+// silence cuts a link both ways or one way, or restores it.
+func (s *soak) silence(link *proxy) {
+	switch s.random.IntN(4) {
+	case 0:
+		link.silence(there, back)
+	case 1:
+		link.silence(there)
+	case 2:
+		link.silence(back)
+	case 3:
+		link.silence()
+	}
+}
+
 // terminate asks the instance to stop, and kills the same process after the grace
 // period, as the platform does. A paused process may need that.
 func (s *soak) terminate(n *node) {
@@ -153,13 +173,15 @@
 func (s *soak) heal() {
 	s.restarts.Wait()
 	s.store.SetAway(false)
+	s.store.SetLosing(false)
 	for _, target := range s.targets {
 		target.SetShedding(false)
 		target.SetBreaking(false)
 		target.SetDelay(0)
 	}
 	for _, n := range s.nodes {
-		n.proxy.set(false, 0)
+		n.toStore.heal()
+		n.fromPeer.heal()
 		n.signal(syscall.SIGCONT)
 	}
 	s.configure()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,7 +37,7 @@
 const grace = 2 * time.Second
 
 // world is a store and targets in this process, and instances in processes of
-// their own that reach the store through a proxy.
+// their own that reach the store and each other through proxies.
 type world struct {
 	t       *testing.T
 	store   *platformtest.Store
@@ -45,12 +46,14 @@
 	version int
 }
 
-// node is an instance: its process, and the proxy on its way to the store.
+// node is an instance: its process, and the proxies on the way to the store and
+// from other instances.
 type node struct {
 	settings string // path of the settings file
 	callers  string
 	ready    string
-	proxy    *proxy
+	toStore  *proxy
+	fromPeer *proxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -81,16 +84,22 @@
 	}
 	w.configure()
 	var peers []string
+	var proxied []string // pairs of an instance's address and that of its proxy
 	for i := range instances {
-		n := &node{callers: freeAddress(t), ready: freeAddress(t), proxy: newProxy(t, strings.TrimPrefix(server.URL, "http://"))}
 		peer := freeAddress(t)
-		peers = append(peers, `"`+peer+`"`)
+		n := &node{
+			callers: freeAddress(t), ready: freeAddress(t),
+			toStore: newProxy(t, strings.TrimPrefix(server.URL, "http://")), fromPeer: newProxy(t, peer),
+		}
+		peers = append(peers, `"`+n.fromPeer.address()+`"`)
+		proxied = append(proxied, `"`+peer+`"`, `"`+n.fromPeer.address()+`"`)
+		w.store.SetRewrite(rewriter(proxied))
 		n.settings = filepath.Join(t.TempDir(), "gateway.hujson")
 		text := fmt.Sprintf(`{"instance": "i%d", "zone": "z%d", "capacity": %v, "peers": [%s],
 			"listen": {"callers": %q, "readiness": %q, "peers": %q, "metrics": %q},
 			"store": {"address": %q, "catchUpMs": 4000, "configDueMs": 3000},
 			"repeats": {"windowSeconds": 10, "ratio": 0.2, "slack": 200}, "shutdown": {"graceSeconds": 2}}`,
-			i, i%2, 0.1+float64(i%3), strings.Join(peers, ","), n.callers, n.ready, peer, freeAddress(t), n.proxy.address())
+			i, i%2, 0.1+float64(i%3), strings.Join(peers, ","), n.callers, n.ready, peer, freeAddress(t), n.toStore.address())
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -105,6 +114,15 @@
 	return w
 }
 
+// rewriter returns what replaces the addresses that instances write of
+// themselves.
+func rewriter(pairs []string) func(string, json.RawMessage) json.RawMessage {
+	replacer := strings.NewReplacer(pairs...)
+	return func(_ string, spec json.RawMessage) json.RawMessage {
+		return json.RawMessage(replacer.Replace(string(spec)))
+	}
+}
+
 // configure writes the next version. Each has a route of its own, which tells
 // which version is in force.
 func (w *world) configure() {
