Use defaults for limits that a configuration does not state

Cause: a configuration without a limit of body bytes refused every body with 413, since a missing limit was read as 0. Found by reading; the users' configurations state it. Test first in core/routing.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -87,6 +87,30 @@
 	IdleTimeout   clock.Duration
 }
 
+// DefaultLimits hold for what a configuration doesn't state, and until one is
+// known.
+var DefaultLimits = Limits{
+	HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * clock.Second, IdleTimeout: 15 * clock.Second,
+}
+
+// OrDefault returns l with the default in place of each limit that is not
+// positive. Without it, a body limit that is not stated would refuse all bodies.
+func (l Limits) OrDefault() Limits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = DefaultLimits.HeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = DefaultLimits.BodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = DefaultLimits.HeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = DefaultLimits.IdleTimeout
+	}
+	return l
+}
+
 // Config is one version of the configuration.
 type Config struct {
 	Version  Version
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("without weights: got %q, want none", got)
 	}
 }
+
+// TestUnstatedLimits guards against a configuration without limits refusing all
+// bodies.
+func TestUnstatedLimits(t *testing.T) {
+	stated := routing.Limits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4}
+	part := routing.DefaultLimits
+	part.BodyBytes = 2
+	for name, c := range map[string]struct{ limits, want routing.Limits }{
+		"stated":       {stated, stated},
+		"unstated":     {routing.Limits{}, routing.DefaultLimits},
+		"only one":     {routing.Limits{BodyBytes: 2}, part},
+		"not positive": {routing.Limits{HeaderBytes: -1, BodyBytes: 2}, part},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, c.limits.OrDefault()); diff != "" {
+				t.Errorf("limits (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -44,6 +44,7 @@
 		g.log.Error("configuration ignored", "revision", o.Revision, "err", err)
 		return
 	}
+	c.Limits = c.Limits.OrDefault()
 	g.mu.Lock()
 	had := routing.Version(0)
 	if g.table != nil {
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -10,15 +10,9 @@
 
 	"github.com/pkg/errors"
 
-	"knapweedstall/core/clock"
 	"knapweedstall/core/routing"
 )
 
-// defaultLimits hold until a configuration is known.
-var defaultLimits = routing.Limits{
-	HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * clock.Second, IdleTimeout: 15 * clock.Second,
-}
-
 // Server serves callers. Each connection keeps the limits that were in force
 // when it was opened.
 type Server struct {
@@ -39,7 +33,7 @@
 		return nil, errors.WithStack(err)
 	}
 	s := &Server{listener: l, handler: handler}
-	s.SetLimits(defaultLimits)
+	s.SetLimits(routing.DefaultLimits)
 	return s, nil
 }
 
