Refuse an idempotency key that belongs to another request

Cause: a key that was sent again with another payload got the outcome of the first request, as if it had run. Claims of earlier releases have no digest and agree with any request; a request that did not run leaves its key free.

--- a/core/claim/batch.go
+++ b/core/claim/batch.go
@@ -110,13 +110,17 @@
 	j.remove(e)
 	var out []Command
 	for _, w := range e.waiters {
-		out = append(out, Reply{recorded(w.id, c)})
+		out = append(out, Reply{recorded(e.request, w.id, c)})
 	}
 	return out
 }
 
-// recorded returns the reply that a record gives to a resend.
-func recorded(id message.RequestID, c Claim) message.RunReply {
+// recorded returns the reply that a record gives to a resend with the id, or to
+// another request that uses the same key.
+func recorded(request message.RunRequest, id message.RequestID, c Claim) message.RunReply {
+	if c.Content.differs(ContentOf(request)) {
+		return message.RunReply{ID: id, Tenant: c.Tenant, Outcome: message.OutcomeNotRun, Reason: message.ReasonKeyReused}
+	}
 	r := message.RunReply{ID: id, Tenant: c.Tenant, Outcome: message.OutcomeUnknown, Reason: message.ReasonInterrupted, At: c.At, Recorded: true}
 	if c.State == StateAnswered {
 		r.Outcome = message.OutcomeAnswered
--- a/core/claim/entry.go
+++ b/core/claim/entry.go
@@ -36,7 +36,7 @@
 }
 
 func (e *entry) claim() Claim {
-	c := Claim{Tenant: e.id.Tenant, Key: e.id.Key, Attempt: e.attempt, State: StateClaimed, At: e.at}
+	c := Claim{Tenant: e.id.Tenant, Key: e.id.Key, Attempt: e.attempt, State: StateClaimed, At: e.at, Content: ContentOf(e.request)}
 	if e.phase == phaseFinished {
 		c.State = State(e.result.Outcome)
 		c.Answer = e.result.Answer
--- a/core/claim/journal.go
+++ b/core/claim/journal.go
@@ -96,12 +96,15 @@
 	e := j.live[id]
 	if e == nil && j.book != nil {
 		if c, _ := j.book.get(id); c.State == StateAnswered || c.State == StateUnknown {
-			return []Command{Reply{recorded(r.ID, c)}}
+			return []Command{Reply{recorded(r.RunRequest, r.ID, c)}}
 		}
 	}
 	settled := e != nil && e.phase == phaseFinished
+	free := e == nil || settled && e.result.Outcome == message.OutcomeNotRun
 	switch {
-	case settled && e.result.Outcome != message.OutcomeNotRun:
+	case !free && ContentOf(e.request).differs(ContentOf(r.RunRequest)):
+		return []Command{notRun(r.RunRequest, message.ReasonKeyReused, 0)}
+	case settled && !free:
 		return []Command{e.replyTo(w)}
 	case e != nil && !settled:
 		e.waiters = append(e.waiters, w)
--- a/core/claim/limits_test.go
+++ b/core/claim/limits_test.go
@@ -121,6 +121,54 @@
 	}
 }
 
+// TestKeyReuse guards against a request that is given the outcome of another one
+// with the same key, whether that one waits, runs, has ended here or is recorded.
+func TestKeyReuse(t *testing.T) {
+	store := objecttest.NewStore()
+	d := newDriver(store, 1)
+	other := func(d *driver, now clock.Time) claim.Command {
+		r := d.request(now, "k")
+		r.Payload = "other"
+		d.out = nil
+		d.do(now, d.Submit(now, r))
+		if len(d.out) == 0 {
+			return nil
+		}
+		return d.out[len(d.out)-1]
+	}
+	reused := func(when string, c claim.Command) {
+		t.Helper()
+		got, ok := c.(claim.Reply)
+		if !ok || got.Outcome != message.OutcomeNotRun || got.Reason != message.ReasonKeyReused || got.Recorded {
+			t.Errorf("%s: another request with the key got %+v", when, c)
+		}
+	}
+	run := d.submit(1, "k").(claim.Run)
+	reused("while it runs", other(d, 2))
+	d.answer(3, run, "a")
+	reused("after it ended", other(d, 4))
+	reused("at another writer", other(newDriver(store, 2), 5))
+	if again, ok := newDriver(store, 3).submit(6, "k").(claim.Reply); !ok || string(again.Answer) != "a" {
+		t.Errorf("a resend got %+v", again)
+	}
+}
+
+// TestKeyOfWhatDidNotRun guards against a key that is used up by a request that
+// did not run.
+func TestKeyOfWhatDidNotRun(t *testing.T) {
+	store := objecttest.NewStore()
+	d := newDriver(store, 1)
+	run := d.submit(1, "k").(claim.Run)
+	d.do(2, d.RunDone(2, claim.RunResult{ID: run.ID, Attempt: run.Attempt, Outcome: message.OutcomeNotRun}))
+	r := d.request(3, "k")
+	r.Payload = "other"
+	d.out = nil
+	d.do(3, d.Submit(3, r))
+	if got, ok := d.out[len(d.out)-1].(claim.Run); !ok || got.Payload != "other" {
+		t.Errorf("another request with the key got %+v", d.out)
+	}
+}
+
 // Guards against callers that are kept waiting while the store is away.
 func TestStoreAwayIsRefusedAtOnce(t *testing.T) {
 	store := objecttest.NewStore()
--- a/core/node/command.go
+++ b/core/node/command.go
@@ -22,6 +22,7 @@
 	RefusedForbidden         Refusal = "forbidden"   // the tenant may not use the collection
 	RefusedOverloaded        Refusal = "overloaded"  // over the admitted rate
 	RefusedQuarantined       Refusal = "quarantined" // the exact request has crashed targets
+	RefusedKeyReused         Refusal = "keyReused"   // the idempotency key belongs to another request
 	RefusedIsolated          Refusal = "isolated"    // the instance can't know which configuration is in force
 	RefusedUnavailable       Refusal = "unavailable" // no holder or no store at present
 	RefusedStopping          Refusal = "stopping"
--- a/core/node/run.go
+++ b/core/node/run.go
@@ -159,8 +159,11 @@
 	default:
 		a.Outcome = RunUnknown
 	}
-	if r.Reason == message.ReasonQuarantined {
+	switch r.Reason {
+	case message.ReasonQuarantined:
 		a.Refusal = RefusedQuarantined
+	case message.ReasonKeyReused:
+		a.Refusal, a.RetryAfter = RefusedKeyReused, 0
 	}
 	n.endRun(c, a)
 }
--- a/instance/callers.go
+++ b/instance/callers.go
@@ -81,6 +81,7 @@
 	node.RefusedForbidden:         {caller.CodeForbidden, "the tenant may not use the collection"},
 	node.RefusedOverloaded:        {caller.CodeOverloaded, "over the rate that can be answered in time"},
 	node.RefusedQuarantined:       {caller.CodeQuarantined, "this exact request has crashed targets"},
+	node.RefusedKeyReused:         {caller.CodeConflict, "the Idempotency-Key belongs to a request with another collection or payload"},
 	node.RefusedIsolated:          {caller.CodeIsolated, "the instance is cut off from the others"},
 	node.RefusedUnavailable:       {caller.CodeUnavailable, "not available at present"},
 	node.RefusedStopping:          {caller.CodeStopping, "the instance is stopping"},
