Report all faults of a ticket

Cause: the log checked a ticket against the state and returned the first of the faults it had found, so an operator with three mistakes filed four times. The faults are returned together (*FaultsError) and the interface lists them; a single one stays a *FaultError. TestAllFaults failed before.

--- a/core/node/trace_test.go
+++ b/core/node/trace_test.go
@@ -104,6 +104,9 @@
 func TestTraceFormsRoundTrip(t *testing.T) {
 	for _, err := range []error{
 		nil, &ticket.FaultError{Path: "p", Code: ticket.FaultRange, Detail: "d"}, &ticket.GapError{InForce: 1, Got: 3},
+		&ticket.FaultsError{Faults: []*ticket.FaultError{
+			{Scope: ticket.Scope{Kind: ticket.KindZone, ID: "z"}, Path: "p", Code: ticket.FaultRange}, {Path: "q", Code: ticket.FaultMissing},
+		}},
 		&ticket.AlreadyFiledError{FilingID: "f", Number: 2}, &ticket.ConflictError{Number: 2, Winner: "w", WinnerOperator: "o"},
 		&ticket.UnavailableError{Number: 2, Unknown: true},
 	} {
--- a/core/node/wire.go
+++ b/core/node/wire.go
@@ -47,6 +47,7 @@
 // errorTypes names the errors of a filing.
 var errorTypes = mustRegister([]entry{
 	{trace.Register[faultForm], "fault"},
+	{trace.Register[faultsForm], "faults"},
 	{trace.Register[ticket.GapError], "gap"},
 	{trace.Register[ticket.AlreadyFiledError], "alreadyFiled"},
 	{trace.Register[ticket.ConflictError], "conflict"},
@@ -61,6 +62,11 @@
 	Detail string
 }
 
+// faultsForm is a ticket.FaultsError.
+type faultsForm struct {
+	Faults []faultForm
+}
+
 // mustRegister panics when a name or type occurs twice, which no input causes.
 func mustRegister(types []entry) *trace.Registry {
 	r := trace.NewRegistry()
@@ -161,10 +167,21 @@
 
 // formOf returns the registered form of an error.
 func formOf(err error) any {
-	fault, ok := err.(*ticket.FaultError)
-	if !ok {
+	switch err := err.(type) {
+	case *ticket.FaultError:
+		return formOfFault(err)
+	case *ticket.FaultsError:
+		var f faultsForm
+		for _, fault := range err.Faults {
+			f.Faults = append(f.Faults, formOfFault(fault))
+		}
+		return f
+	default:
 		return reflect.Indirect(reflect.ValueOf(err)).Interface()
 	}
+}
+
+func formOfFault(fault *ticket.FaultError) faultForm {
 	f := faultForm{Path: fault.Path, Code: fault.Code, Detail: fault.Detail}
 	if !fault.Scope.IsZero() {
 		f.Scope = &fault.Scope
@@ -172,6 +189,14 @@
 	return f
 }
 
+func (f faultForm) fault() *ticket.FaultError {
+	fault := &ticket.FaultError{Path: f.Path, Code: f.Code, Detail: f.Detail}
+	if f.Scope != nil {
+		fault.Scope = *f.Scope
+	}
+	return fault
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (c *AnswerTicket) UnmarshalJSON(data []byte) error {
 	var w answerTicketWire
@@ -192,12 +217,15 @@
 
 // errorOf returns the error of a registered form.
 func errorOf(v any) error {
-	if f, ok := v.(faultForm); ok {
-		fault := &ticket.FaultError{Path: f.Path, Code: f.Code, Detail: f.Detail}
-		if f.Scope != nil {
-			fault.Scope = *f.Scope
+	switch f := v.(type) {
+	case faultForm:
+		return f.fault()
+	case faultsForm:
+		several := &ticket.FaultsError{}
+		for _, one := range f.Faults {
+			several.Faults = append(several.Faults, one.fault())
 		}
-		return fault
+		return several
 	}
 	p := reflect.New(reflect.TypeOf(v))
 	p.Elem().Set(reflect.ValueOf(v))
--- a/core/ticket/checkpoint.go
+++ b/core/ticket/checkpoint.go
@@ -61,7 +61,8 @@
 	return nil
 }
 
-// DecodeCheckpoint decodes and checks a checkpoint. It fails with *FaultError.
+// DecodeCheckpoint decodes and checks a checkpoint. It fails with *FaultError or
+// *FaultsError.
 func DecodeCheckpoint(data []byte) (*State, error) {
 	var wire struct {
 		Number Number            `json:"number"`
@@ -84,8 +85,8 @@
 		}
 		s.set(e.Change, e.Number)
 	}
-	if faults := checkState(s); len(faults) > 0 {
-		return nil, faults[0]
+	if err := joinFaults(checkState(s)); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
--- a/core/ticket/fault.go
+++ b/core/ticket/fault.go
@@ -1,6 +1,10 @@
 package ticket
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
 
 // FaultCode says what is wrong with a ticket or a checkpoint.
 type FaultCode string
@@ -35,6 +39,56 @@
 	return fmt.Sprintf("%s: %s: %s", where, e.Code, e.Detail)
 }
 
+// FaultsError lists several faults of a ticket, at least two.
+type FaultsError struct {
+	Faults []*FaultError
+}
+
+// Error implements error.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Unwrap returns the faults.
+func (e *FaultsError) Unwrap() []error {
+	out := make([]error, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		out = append(out, fault)
+	}
+	return out
+}
+
+// joinFaults returns a *FaultError or a *FaultsError; nil for no faults.
+func joinFaults(faults []*FaultError) error {
+	switch len(faults) {
+	case 0:
+		return nil
+	case 1:
+		return faults[0]
+	default:
+		return &FaultsError{Faults: faults}
+	}
+}
+
+// FaultsOf returns the faults that err consists of, or none when it is no error
+// of an invalid ticket.
+func FaultsOf(err error) []*FaultError {
+	var several *FaultsError
+	var one *FaultError
+	switch {
+	case errors.As(err, &several):
+		return several.Faults
+	case errors.As(err, &one):
+		return []*FaultError{one}
+	default:
+		return nil
+	}
+}
+
 // GapError says that a ticket cannot be applied before the ones ahead of it.
 type GapError struct {
 	InForce Number // number of the last applied ticket
--- a/core/ticket/filing.go
+++ b/core/ticket/filing.go
@@ -29,7 +29,7 @@
 func (WriteObject) command() {}
 
 // Finish ends a filing. Err is nil when the ticket was accepted, and otherwise
-// *ConflictError, *UnavailableError or *FaultError.
+// *ConflictError, *UnavailableError, *FaultError or *FaultsError.
 type Finish struct {
 	Ticket Ticket
 	Err    error
--- a/core/ticket/log.go
+++ b/core/ticket/log.go
@@ -40,7 +40,7 @@
 
 // Apply applies the next ticket. A number that is already in force is ignored.
 // It fails with *GapError when tickets are missing in between, and with
-// *FaultError when the ticket is invalid; then nothing changes. Since filers
+// *FaultError or *FaultsError when the ticket is invalid; then nothing changes. Since filers
 // check a ticket against the state ahead of it, an invalid one comes from a
 // different version or from outside, and the log stays where it is.
 func (l *Log) Apply(t Ticket) error {
@@ -50,8 +50,8 @@
 	case t.Number != l.state.number+1:
 		return &GapError{InForce: l.state.number, Got: t.Number}
 	}
-	if faults := Check(l.state, t); len(faults) > 0 {
-		return faults[0]
+	if err := joinFaults(Check(l.state, t)); err != nil {
+		return err
 	}
 	encoded, err := json.Marshal(t)
 	if err != nil {
@@ -85,7 +85,7 @@
 }
 
 // Draft returns the ticket that follows the state in force, ready to be filed.
-// It fails with *FaultError, or with *AlreadyFiledError when the filing id is
+// It fails with *FaultError, *FaultsError, or *AlreadyFiledError when the filing id is
 // among the tickets that the log remembers.
 func (l *Log) Draft(id FilingID, operator Operator, at int64, force bool, changes []Change) (Ticket, error) {
 	for _, k := range l.kept {
@@ -94,8 +94,8 @@
 		}
 	}
 	t := Ticket{Number: l.state.number + 1, FilingID: id, Operator: operator, At: at, Force: force, Changes: changes}
-	if faults := Check(l.state, t); len(faults) > 0 {
-		return Ticket{}, faults[0]
+	if err := joinFaults(Check(l.state, t)); err != nil {
+		return Ticket{}, err
 	}
 	return t, nil
 }
--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -127,6 +127,28 @@
 	}
 }
 
+// TestAllFaults guards against an operator who mends one fault of a ticket only
+// to be told of the next.
+func TestAllFaults(t *testing.T) {
+	bad := strings.NewReplacer(`"slots":2`, `"slots":0`, "127.0.0.1", "host", `"in"`, `"half"`)
+	err := apply(baseLog(t), ticketJSON(2, "", bad.Replace(zoneMacon), bad.Replace(dockdesk)))
+	var got []string
+	for _, fault := range ticket.FaultsOf(err) {
+		got = append(got, fault.Scope.String()+" "+fault.Path)
+	}
+	want := []string{
+		"collection/dockdesk value.services[0].targets[0].address",
+		"collection/dockdesk value.services[0].targets[0].slots",
+		"zone/macon-yard value.state",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("faults of %v (-want +got):\n%s", err, diff)
+	}
+	if got := ticket.FaultsOf(&ticket.GapError{}); len(got) > 0 {
+		t.Errorf("another error has the faults %v", got)
+	}
+}
+
 // Guards against an operator being unable to take out a whole region on purpose.
 func TestForceTakesOutLastZone(t *testing.T) {
 	l := baseLog(t)
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -39,13 +39,17 @@
 
 // operatorError translates an error of package ticket.
 func operatorError(err error) *operator.Error {
-	var fault *ticket.FaultError
 	var conflict *ticket.ConflictError
 	var gap *ticket.GapError
 	var unavailable *ticket.UnavailableError
+	if faults := ticket.FaultsOf(err); len(faults) > 0 {
+		e := &operator.Error{Code: operator.CodeInvalid, Message: "the ticket is not valid"}
+		for _, fault := range faults {
+			e.Faults = append(e.Faults, fault.Error())
+		}
+		return e
+	}
 	switch {
-	case errors.As(err, &fault):
-		return &operator.Error{Code: operator.CodeInvalid, Message: "the ticket is not valid", Faults: []string{fault.Error()}}
 	case errors.As(err, &conflict):
 		return &operator.Error{
 			Code: operator.CodeConflict, Message: conflict.Error(),
