Choose ports of processes under test below those of outgoing connections

Its log says 'listen tcp 127.0.0.1:36339: bind: address already in use': the port had been chosen by listening on port 0, and an outgoing connection took it before the process did. The more proxies, the likelier.

Change: the allocator of e2e, which takes a block below the ephemeral range, is a package of its own, and soak and gateway use it in place of two copies of freeAddress.

--- a/e2e/input_test.go
+++ b/e2e/input_test.go
@@ -16,6 +16,7 @@
 	"knapweedstall/io/caller"
 	"knapweedstall/io/operator"
 	"knapweedstall/io/peer"
+	"knapweedstall/io/porttest"
 )
 
 // badInput is one request and the refusal that it has to get.
@@ -187,7 +188,7 @@
 	}
 	hello := func(id topology.InstanceID) []byte {
 		data, err := peer.Encode(peer.Frame{Bodies: []message.Body{message.Hello{Member: topology.Member{
-			Ref: topology.InstanceRef{ID: id, Incarnation: 1}, Address: freePorts(t, 1)[0],
+			Ref: topology.InstanceRef{ID: id, Incarnation: 1}, Address: porttest.Address(t),
 			Zone: topology.ZoneID(zones[1]), Region: "ga-central", State: topology.MemberLive,
 		}}}})
 		if err != nil {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,14 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +17,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
 	"knapweedstall/io/caller"
+	"knapweedstall/io/porttest"
 )
 
 const (
@@ -86,58 +83,6 @@
 
 func tail(b []byte, n int) []byte { return b[max(0, len(b)-n):] }
 
-// The ports of the processes lie below the range that the system takes for
-// outgoing connections and for port 0, so that none is taken between its choice
-// and its use, also while a member is replaced. Each run of the tests takes one
-// block and listens on the first port of it, which keeps other runs out.
-const (
-	firstPort = 10000
-	blockSize = 2000
-	blocks    = 10
-)
-
-var (
-	blockLock net.Listener // open until the process ends
-	takeBlock = sync.OnceValue(func() int {
-		for i := range blocks {
-			block := firstPort + i*blockSize
-			if l, err := listen(block); err == nil {
-				blockLock = l
-				return block
-			}
-		}
-		return 0
-	})
-	lastPort atomic.Int64 // offset in the block
-)
-
-func listen(port int) (net.Listener, error) {
-	return net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
-}
-
-// freePorts returns n loopback addresses that are free. None is returned twice
-// before the block is used up.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	block := takeBlock()
-	if block == 0 {
-		t.Fatal("all blocks of ports are in use")
-	}
-	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		if tries == blockSize {
-			t.Fatal("no free port")
-		}
-		l, err := listen(block + 1 + int(lastPort.Add(1)%(blockSize-1)))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out
-}
-
 // member is one instance of the tier under test.
 type member struct {
 	id, zone                 string
@@ -190,7 +135,7 @@
 	t.Helper()
 	clusters <- struct{}{}
 	t.Cleanup(func() { <-clusters })
-	ports := freePorts(t, 2)
+	ports := porttest.Addresses(t, 2)
 	c := &cluster{t: t, dir: t.TempDir(), platform: ports[0], store: ports[0], control: ports[1]}
 	c.platProc = start(t, "emulate", "-listen", c.platform, "platform")
 	ticketFile := filepath.Join(c.dir, "first.json")
@@ -212,7 +157,7 @@
 // addMember adds the next member, which does not run yet.
 func (c *cluster) addMember() *member {
 	i := len(c.members)
-	ports := freePorts(c.t, 3)
+	ports := porttest.Addresses(c.t, 3)
 	m := &member{
 		id: fmt.Sprintf("peachline-%02d", i), zone: zones[i%len(zones)],
 		callers: ports[0], peers: ports[1], operator: ports[2],
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	"knapweedstall/core/topology"
 	"knapweedstall/gateway"
 	"knapweedstall/io/osclock"
+	"knapweedstall/io/porttest"
 	"knapweedstall/platform"
 	"knapweedstall/platform/platformtest"
 	"knapweedstall/settings"
@@ -79,22 +79,13 @@
 	w.store.Configure(version, routes)
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // start starts an instance and waits until it is ready.
 func (w *world) start(change func(*settings.Gateway)) *instance {
 	w.instances++
 	s := settings.Gateway{
 		Instance: topology.InstanceID(fmt.Sprintf("instance-%d", w.instances)), Zone: "z1", Capacity: 1,
 		Listen: settings.GatewayListen{
-			Callers: freeAddress(w.t), Readiness: freeAddress(w.t), Peers: freeAddress(w.t), Metrics: freeAddress(w.t),
+			Callers: porttest.Address(w.t), Readiness: porttest.Address(w.t), Peers: porttest.Address(w.t), Metrics: porttest.Address(w.t),
 		},
 		Store:    settings.GatewayStore{Address: w.address, CatchUpMS: 4000, ConfigDueMS: 3000},
 		Repeats:  settings.Repeats{WindowSeconds: 10, Ratio: 0.2, Slack: 100},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,7 +38,9 @@
 var shards = []string{"a", "b", "c", "d"}
 
 // failedSeeds once found a fault; each has a line on the cause.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	82040, // an outgoing connection had taken the port chosen for an instance
+}
 
 // record returns the record of a service; a later service has a greater one.
 func record(service string) string { return fmt.Sprintf("%-16s", service) }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +16,7 @@
 	"time"
 
 	"knapweedstall/cmd"
+	"knapweedstall/io/porttest"
 	"knapweedstall/platform/platformtest"
 )
 
@@ -62,15 +62,6 @@
 	over    bool // no process is started any more
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newWorld(t *testing.T, instances int) *world {
 	w := &world{t: t, store: platformtest.NewStore()}
 	server := httptest.NewServer(w.store)
@@ -86,9 +77,9 @@
 	var peers []string
 	var proxied []string // pairs of an instance's address and that of its proxy
 	for i := range instances {
-		peer := freeAddress(t)
+		peer := porttest.Address(t)
 		n := &node{
-			callers: freeAddress(t), ready: freeAddress(t),
+			callers: porttest.Address(t), ready: porttest.Address(t),
 			toStore: newProxy(t, strings.TrimPrefix(server.URL, "http://")), fromPeer: newProxy(t, peer),
 		}
 		peers = append(peers, `"`+n.fromPeer.address()+`"`)
@@ -99,7 +90,7 @@
 			"listen": {"callers": %q, "readiness": %q, "peers": %q, "metrics": %q},
 			"store": {"address": %q, "catchUpMs": 4000, "configDueMs": 3000},
 			"repeats": {"windowSeconds": 10, "ratio": 0.2, "slack": 200}, "shutdown": {"graceSeconds": 2}}`,
-			i, i%2, 0.1+float64(i%3), strings.Join(peers, ","), n.callers, n.ready, peer, freeAddress(t), n.toStore.address())
+			i, i%2, 0.1+float64(i%3), strings.Join(peers, ","), n.callers, n.ready, peer, porttest.Address(t), n.toStore.address())
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
