--- a/io/porttest/porttest.go
+++ b/io/porttest/porttest.go
@@ -19,20 +19,23 @@
 	blocks    = 20
 )
 
-var (
-	blockLock net.Listener // open until the process ends
-	takeBlock = sync.OnceValue(func() int {
-		for i := range blocks {
-			block := firstPort + i*blockSize
-			if l, err := listen(block); err == nil {
-				blockLock = l
-				return block
-			}
+// block is a range of ports that belongs to this run.
+type block struct {
+	first int
+	lock  net.Listener // on the first port; open until the process ends
+	last  atomic.Int64 // offset of the port that was handed out last
+}
+
+// take returns the block of this run, or nil when all are in use.
+var take = sync.OnceValue(func() *block {
+	for i := range blocks {
+		first := firstPort + i*blockSize
+		if l, err := listen(first); err == nil {
+			return &block{first: first, lock: l}
 		}
-		return 0
-	})
-	lastPort atomic.Int64 // offset in the block
-)
+	}
+	return nil
+})
 
 func listen(port int) (net.Listener, error) {
 	return net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
@@ -48,8 +51,8 @@
 // before the block is used up.
 func Addresses(t *testing.T, n int) []string {
 	t.Helper()
-	block := takeBlock()
-	if block == 0 {
+	b := take()
+	if b == nil {
 		t.Fatal("all blocks of ports are in use")
 	}
 	var out []string
@@ -57,7 +60,7 @@
 		if tries == blockSize {
 			t.Fatal("no free port")
 		}
-		l, err := listen(block + 1 + int(lastPort.Add(1)%(blockSize-1)))
+		l, err := listen(b.first + 1 + int(b.last.Add(1)%(blockSize-1)))
 		if err != nil {
 			continue
 		}
