Know the other instances as soon as an instance starts

Cause: an instance read the list of instances one second after its start, so that all instances of a new system have registered by then.

TestStartedInstanceKnowsTheOthers failed before.

--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -26,12 +26,15 @@
 	return j.text.Write(p)
 }
 
-func (j *journal) reader() io.Reader {
+// String returns what was logged so far.
+func (j *journal) String() string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return strings.NewReader(j.text.String())
+	return j.text.String()
 }
 
+func (j *journal) reader() io.Reader { return strings.NewReader(j.String()) }
+
 func (j *journal) logger() *log.Logger {
 	return log.NewWithOptions(j, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter})
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -344,6 +344,27 @@
 	}
 }
 
+// TestStartedInstanceKnowsTheOthers guards against a small instance that runs
+// searches itself for a second after each start: when all of them restart after a
+// loss of power, the first searches would be late.
+func TestStartedInstanceKnowsTheOthers(t *testing.T) {
+	w := newWorld(t)
+	logs := &journal{}
+	w.logger = logs.logger()
+	large := w.start(func(s *settings.Gateway) { s.Capacity = 4 })
+	w.eventually("the large instance is known", func() bool { return len(w.store.Names(platform.KindInstances)) == 1 })
+	w.targets["d1"].Close() // so that searches are logged
+	w.targets["d2"].Close()
+	small := w.start(func(s *settings.Gateway) { s.Capacity = 0.05 })
+	for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		small.ask(t, "GET", "/search/1", "")
+		if strings.Contains(logs.String(), "runner="+string(large.settings.Instance)) {
+			return
+		}
+	}
+	t.Error("the started instance handed no search over within 400 ms")
+}
+
 // TestCrashesOfHandedOverSearch guards against a search that crashes targets and
 // looks like a new one each time it is sent: an instance that runs it for another
 // one must report the fingerprint of the caller's request.
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -275,8 +275,11 @@
 	return addresses[g.random.IntN(len(addresses))]
 }
 
-// firstInstances registers the instance and reads the other ones once.
+// firstInstances registers the instance and reads the other ones. It reads them
+// at once, for an instance that starts again among others, and once more when
+// all instances of a new system have registered.
 func (g *Gateway) firstInstances(ctx context.Context) {
+	g.readInstances(ctx, true)
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
