Refuse hopeless searches without a send, and ask late shards when needed

Five of 90 shards had no target at that moment, one more than may be missing, and 85 requests had been sent to the other shards for nothing. In some of the five a slow target was up: the pick named 'down' as the reason, because the target that was down came back before the slow one's pause was over, so nobody asked the slow one although it was needed. A shard that was left out was not asked either when another one was lost later.

Change: that a target is paced goes before the other reasons; left-out shards are asked as soon as they are needed; a search that can't have enough shards gives its first sends back and is refused as not run, with a time to come back. A search that another instance may have run is never refused as not run.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -68,7 +68,8 @@
 	sends    []Send
 }
 
-// New returns a Call and its first sends.
+// New returns a Call and its first sends. A search that can't have enough shards
+// now is refused without any send.
 func New(terms Terms, table *routing.Table, targets Targets, budget Budget, latency Latency, now clock.Time) (*Call, []Send) {
 	c := &Call{terms: terms, table: table, targets: targets, budget: budget, latency: latency, started: now}
 	c.shards = make([]shard, len(terms.Services))
@@ -82,6 +83,9 @@
 		c.send(i, replica.First, now)
 	}
 	c.forcePaced(now)
+	if !c.reachable() {
+		c.withdraw(now)
+	}
 	return c, c.take()
 }
 
@@ -90,23 +94,48 @@
 // would make each of them later still.
 func (c *Call) forcePaced(now clock.Time) {
 	var paced []int
-	hopeless := 0
+	open := 0
 	for i := range c.shards {
 		switch s := &c.shards[i]; {
+		case !s.hopeless:
+			open++
 		case s.reason == replica.Paced:
 			paced = append(paced, i)
-		case s.hopeless:
-			hopeless++
 		}
 	}
-	needed := int(math.Ceil(c.terms.MinCoverage*float64(len(c.shards)))) - (len(c.shards) - hopeless - len(paced))
+	needed := int(math.Ceil(c.terms.MinCoverage*float64(len(c.shards)))) - open
 	for k := range min(needed, len(paced)) {
 		i := paced[(int(now)+k)%len(paced)] // a different one each time
-		c.shards[i].hopeless, c.shards[i].reason = false, replica.Selected
+		c.shards[i].hopeless = false
 		c.send(i, replica.Needed, now)
 	}
 }
 
+// withdraw gives back the sends that were not taken yet.
+func (c *Call) withdraw(now clock.Time) {
+	for _, send := range c.sends {
+		a, s := &c.attempts[send.Attempt], &c.shards[send.Shard]
+		a.ended, a.outcome = true, replica.Canceled
+		c.targets.Ended(a.target, replica.Result{Outcome: replica.Canceled}, now)
+		s.underWay--
+		s.ran--
+		s.reached--
+		s.hopeless = true
+	}
+	c.sends = nil
+}
+
+// reachable reports whether enough shards are or may still be answered.
+func (c *Call) reachable() bool {
+	open := 0
+	for i := range c.shards {
+		if s := &c.shards[i]; s.answered || !s.hopeless {
+			open++
+		}
+	}
+	return open > 0 && float64(open) >= c.terms.MinCoverage*float64(len(c.shards))
+}
+
 func (c *Call) take() []Send {
 	out := c.sends
 	c.sends = nil
@@ -207,6 +236,7 @@
 	}
 	if s.underWay == 0 {
 		c.again(a.shard, outcome, now)
+		c.forcePaced(now)
 	}
 	return c.take()
 }
@@ -263,6 +293,7 @@
 			c.send(i, replica.Needed, now)
 		}
 	}
+	c.forcePaced(now)
 	return c.take()
 }
 
@@ -316,7 +347,7 @@
 }
 
 func (c *Call) state(now clock.Time) State {
-	hopeless, ran := 0, false
+	hopeless, ran := 0, c.terms.Repeat
 	for i := range c.shards {
 		s := &c.shards[i]
 		ran = ran || s.ran > 0
@@ -324,7 +355,6 @@
 			hopeless++
 		}
 	}
-	reachable := float64(len(c.shards)-hopeless) >= c.terms.MinCoverage*float64(len(c.shards)) && hopeless < len(c.shards)
 	switch {
 	case c.answered == len(c.shards):
 		return Complete
@@ -332,9 +362,9 @@
 		return Partial
 	case c.enough() && c.terms.Early != 0 && !now.Before(c.terms.Early):
 		return Partial
-	case !reachable && !ran:
+	case !c.reachable() && !ran:
 		return Refused
-	case !reachable:
+	case !c.reachable():
 		return Failure
 	case now.Before(c.terms.End):
 		return Open
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -209,12 +209,19 @@
 	return Choice{Target: best}
 }
 
-// worse returns the failure that is over first.
+// worse returns the failure that is over first. That a target is paced goes before
+// the others, because it can be used all the same.
 func worse(a, b Choice) Choice {
-	if a.Reason == Unlisted || b.Retry != 0 && (a.Retry == 0 || b.Retry.Before(a.Retry)) {
+	switch {
+	case a.Reason == Paced && b.Reason != Paced:
+		return a
+	case b.Reason == Paced && a.Reason != Paced:
+		return b
+	case a.Reason == Unlisted || b.Retry != 0 && (a.Retry == 0 || b.Retry.Before(a.Retry)):
 		return b
+	default:
+		return a
 	}
-	return a
 }
 
 func (s *Set) unusable(t *Target, svc *routing.Service, now clock.Time) (Reason, clock.Time) {
--- a/core/replica/set_test.go
+++ b/core/replica/set_test.go
@@ -168,6 +168,23 @@
 	}
 }
 
+// TestLateTargetBesideOneThatIsDown guards against a service whose only usable
+// target answers late being taken for one without any: it can be asked when it is
+// needed.
+func TestLateTargetBesideOneThatIsDown(t *testing.T) {
+	s := newSet(1, listing("a", "z1"), listing("b", "z1"))
+	report(t, s, "b", replica.Result{Outcome: replica.Unsent}, 60) // down for less than a is paced
+	for i := range 5 {
+		report(t, s, "a", replica.Result{Outcome: replica.Answered, Late: true}, clock.Time(100+10*i))
+	}
+	if got := s.Pick("s", plain, nil, replica.First, 150).Reason; got != replica.Paced {
+		t.Errorf("reason %q, want %q", got, replica.Paced)
+	}
+	if got := s.Pick("s", plain, nil, replica.Needed, 150); got.Target == nil || got.Target.ID != "a" {
+		t.Errorf("choice %+v, want target a", got)
+	}
+}
+
 // TestStalledTargetIsAvoided guards against more requests queueing at a target
 // that has stopped answering.
 func TestStalledTargetIsAvoided(t *testing.T) {
