Hedge no sooner than a quarter of the objective

Cause: parts of a quick search take 6 ms, so a send was overdue after 12 ms of an objective of 60 ms, and one of 15 ms work after 30 ms of 120. A hedge that soon hardly ever decides whether the answer is in time, crosses zones, and takes a repeat from a send that is needed while targets shed or crash.

--- a/core/fanout/latency.go
+++ b/core/fanout/latency.go
@@ -13,10 +13,13 @@
 	hedgeRank = 0.92 // share of the sends that are not overdue
 	// hedgeFactor bounds the delay when many targets are slow, by the time that
 	// the other ones take.
-	hedgeFactor  = 2
-	minHedge     = 2 * clock.Millisecond
-	initialShare = 4 // a quarter of the objective, until there are samples
-	maxShare     = 2 // at most half of the objective
+	hedgeFactor = 2
+	minHedge    = 2 * clock.Millisecond
+	// minShare and maxShare bound the delay by parts of the objective, a quarter
+	// and half of it. A hedge that is sent sooner hardly ever decides whether the
+	// answer is in time, and takes a repeat from a send that needs one.
+	minShare = 4
+	maxShare = 2
 )
 
 // Estimate learns the latency of one route's sends.
@@ -31,7 +34,7 @@
 // NewEstimate returns the Estimate of a route with the objective.
 func NewEstimate(objective clock.Duration) *Estimate {
 	e := &Estimate{objective: objective}
-	e.hedge = max(objective/initialShare, minHedge)
+	e.hedge = max(objective/minShare, minHedge)
 	e.usual = e.hedge
 	return e
 }
@@ -52,7 +55,8 @@
 	sorted := slices.Clone(e.ring[:min(e.count, samples)])
 	slices.Sort(sorted)
 	e.usual = sorted[len(sorted)/2]
-	e.hedge = max(min(sorted[int(hedgeRank*float64(len(sorted)))], hedgeFactor*e.usual), minHedge)
+	e.hedge = min(sorted[int(hedgeRank*float64(len(sorted)))], hedgeFactor*e.usual)
+	e.hedge = max(e.hedge, e.objective/minShare, minHedge)
 	if e.objective > 0 {
 		e.hedge = min(e.hedge, max(e.objective/maxShare, minHedge))
 	}
