--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,10 +53,10 @@
 	budget    *budget.Budget
 	estimates map[routing.RouteName]*fanout.Estimate
 	crashes   *poison.Ledger
-	open      int      // requests in progress
-	completed int      // requests with a complete answer, for sampling
-	peers     []peer   // all known instances, this one included
-	seeds     []string // peer addresses from the settings
+	open      int                // requests in progress
+	completed int                // requests with a complete answer, for sampling
+	peers     []placing.Instance // all known instances, this one included
+	seeds     []string           // peer addresses from the settings
 	placing   *placing.Set
 	nearness  map[routing.RouteName]map[topology.ZoneID]float64 // shards with a target in the zone, computed when needed
 	listings  map[string]parsedListing                          // of the store's entries, by name
@@ -206,11 +206,3 @@
 		g.metrics.update(version, g.views.age(), g.pool.Opened(), g.dropped())
 	}
 }
-
-// peer is another instance.
-type peer struct {
-	id       topology.InstanceID
-	zone     topology.ZoneID
-	address  string  // of its peer endpoint
-	capacity float64 // processor share
-}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -4,14 +4,11 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/placing"
 	"knapweedstall/core/topology"
-	"knapweedstall/core/view"
 	"knapweedstall/io/relay"
-	"knapweedstall/platform"
 )
 
 // One instance of each zone watches the store, and the others of the zone
@@ -43,9 +40,6 @@
 	// store is back.
 	awaitPeriod   = 800 * clock.Millisecond
 	maxNeighbours = 2 // instances of other zones that a watching one follows
-
-	listInstances = 15 * clock.Second // between two reads of the instances
-	firstListing  = clock.Second      // all instances of a new system register within this time
 )
 
 // keepCurrent keeps the copies up to date until ctx is done.
@@ -200,18 +194,18 @@
 func (g *Gateway) neighbour(i int) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var firsts []peer // of the zones
+	var firsts []placing.Instance // of the zones
 	for _, p := range g.peers {
-		if !slices.ContainsFunc(firsts, func(f peer) bool { return f.zone == p.zone }) {
+		if !slices.ContainsFunc(firsts, func(f placing.Instance) bool { return f.Zone == p.Zone }) {
 			firsts = append(firsts, p)
 		}
 	}
-	slices.SortFunc(firsts, func(a, b peer) int { return cmp.Compare(a.zone, b.zone) })
-	at := slices.IndexFunc(firsts, func(f peer) bool { return f.zone == g.settings.Zone })
+	slices.SortFunc(firsts, func(a, b placing.Instance) int { return cmp.Compare(a.Zone, b.Zone) })
+	at := slices.IndexFunc(firsts, func(f placing.Instance) bool { return f.Zone == g.settings.Zone })
 	if at < 0 || i+1 >= len(firsts) {
 		return ""
 	}
-	return firsts[(at+i+1)%len(firsts)].address
+	return firsts[(at+i+1)%len(firsts)].Address
 }
 
 // candidates returns the peer addresses of the instances of the zone that come
@@ -219,11 +213,11 @@
 func (g *Gateway) candidates() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	mine := peer{id: g.settings.Instance, zone: g.settings.Zone, capacity: g.settings.Capacity}
+	mine := placing.Instance{ID: g.settings.Instance, Zone: g.settings.Zone, Capacity: g.settings.Capacity}
 	var addresses []string
 	for _, p := range g.peers {
-		if p.zone == mine.zone && p.id != mine.id && comparePeers(p, mine) < 0 {
-			addresses = append(addresses, p.address)
+		if p.Zone == mine.Zone && p.ID != mine.ID && comparePeers(p, mine) < 0 {
+			addresses = append(addresses, p.Address)
 		}
 	}
 	return addresses[:min(len(addresses), maxCandidates)]
@@ -231,11 +225,11 @@
 
 // comparePeers orders instances: those with more capacity first, since sources
 // have more work.
-func comparePeers(a, b peer) int {
+func comparePeers(a, b placing.Instance) int {
 	return cmp.Or(
-		cmp.Compare(b.capacity, a.capacity),
-		cmp.Compare(topology.Hash64(string(a.id)), topology.Hash64(string(b.id))),
-		cmp.Compare(a.id, b.id),
+		cmp.Compare(b.Capacity, a.Capacity),
+		cmp.Compare(topology.Hash64(string(a.ID)), topology.Hash64(string(b.ID))),
+		cmp.Compare(a.ID, b.ID),
 	)
 }
 
@@ -265,8 +259,8 @@
 		}
 	}
 	for _, p := range g.peers {
-		if p.id != g.settings.Instance {
-			addresses = append(addresses, p.address)
+		if p.ID != g.settings.Instance {
+			addresses = append(addresses, p.Address)
 		}
 	}
 	if len(addresses) == 0 {
@@ -274,107 +268,3 @@
 	}
 	return addresses[g.random.IntN(len(addresses))]
 }
-
-// firstInstances registers the instance and reads the other ones. It reads them
-// at once, for an instance that starts again among others, and once more when
-// all instances of a new system have registered.
-func (g *Gateway) firstInstances(ctx context.Context) {
-	g.readInstances(ctx, true)
-	registered := make(chan struct{})
-	go func() {
-		defer close(registered)
-		g.register(ctx)
-	}()
-	sleep(ctx, firstListing)
-	g.readInstances(ctx, false)
-}
-
-// followInstances reads the list of instances again and again.
-func (g *Gateway) followInstances(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, g.jitter(listInstances))
-		g.readInstances(ctx, true)
-	}
-}
-
-func (g *Gateway) readInstances(ctx context.Context, stale bool) {
-	k, err := g.store.List(ctx, platform.KindInstances, stale, callTimeout)
-	if err != nil {
-		g.log.Debug("instances not listed", "err", err)
-		return
-	}
-	g.applyInstances(k)
-}
-
-// register writes the instance's object, until the store has taken it.
-func (g *Gateway) register(ctx context.Context) {
-	spec := platform.Instance{Address: g.settings.Listen.Peers, Zone: string(g.settings.Zone), Capacity: g.settings.Capacity}
-	for pause := firstTry; ctx.Err() == nil; pause = min(2*pause, 4*lastTry) {
-		err := g.store.Put(ctx, platform.KindInstances, string(g.settings.Instance), spec)
-		if err == nil {
-			return
-		}
-		g.log.Debug("instance not registered", "err", err)
-		sleep(ctx, g.jitter(pause))
-	}
-}
-
-// deregister removes the instance's object. One that stays does no harm: the
-// others only reckon with one instance more.
-func (g *Gateway) deregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := g.store.Delete(ctx, platform.KindInstances, string(g.settings.Instance)); err != nil {
-		g.log.Debug("instance not deregistered", "err", err)
-	}
-}
-
-func (g *Gateway) applyInstances(k view.Kind) {
-	var peers []peer
-	for name, o := range k.Objects {
-		in, err := platform.ParseInstance(name, o.Spec)
-		if err != nil {
-			g.log.Warn("entry of an instance ignored", "name", name, "err", err)
-			continue
-		}
-		peers = append(peers, peer{
-			id: topology.InstanceID(name), zone: topology.ZoneID(in.Zone), address: in.Address, capacity: in.Capacity,
-		})
-	}
-	slices.SortFunc(peers, comparePeers)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(peers) != len(g.peers) {
-		g.log.Info("instances known", "instances", len(peers), "before", len(g.peers), "revision", k.Revision)
-	}
-	g.peers = peers
-	instances := runners(peers)
-	g.placing.Update(instances)
-	g.budget.SetParts(placing.Part(g.settings.Instance, instances), 1/float64(max(len(peers), 1)), g.clock.Now())
-	g.targets.SetSharers(len(peers), g.coldTurn)
-}
-
-// coldTurn reports whether this instance is among the n that may send to a
-// cold target. All instances that know the same instances agree on them. The
-// caller holds mu.
-func (g *Gateway) coldTurn(id topology.TargetID, n int) bool {
-	mine := topology.Hash64(string(id) + "/" + string(g.settings.Instance))
-	before := 0
-	for _, p := range g.peers {
-		if p.id != g.settings.Instance && topology.Hash64(string(id)+"/"+string(p.id)) > mine {
-			before++
-		}
-	}
-	return before < n
-}
-
-// runners returns the instances that may run searches.
-func runners(peers []peer) []placing.Instance {
-	var out []placing.Instance
-	for _, p := range peers {
-		if p.capacity > 0 {
-			out = append(out, placing.Instance{ID: p.id, Zone: p.zone, Address: p.address, Capacity: p.capacity})
-		}
-	}
-	return out
-}
