--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -99,7 +99,7 @@
 		switch s := &c.shards[i]; {
 		case !s.hopeless:
 			open++
-		case s.reason == replica.Paced:
+		case s.reason == replica.Paced && s.ran < c.terms.MaxAttempts:
 			paced = append(paced, i)
 		}
 	}
@@ -117,6 +117,9 @@
 		a, s := &c.attempts[send.Attempt], &c.shards[send.Shard]
 		a.ended, a.outcome = true, replica.Canceled
 		c.targets.Ended(a.target, replica.Result{Outcome: replica.Canceled}, now)
+		if a.repeat {
+			c.budget.Refund(s.service, now)
+		}
 		s.underWay--
 		s.ran--
 		s.reached--
