--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -19,7 +19,7 @@
 
 // gatewayCommand runs one instance on the platform.
 type gatewayCommand struct {
-	path string
+	settingsCommand
 }
 
 // Name implements subcommands.Command.
@@ -40,15 +40,9 @@
 ` + exitCodesHelp
 }
 
-// SetFlags implements subcommands.Command.
-func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.path, "settings", "", "settings file, JSON with comments")
-}
-
 // Execute implements subcommands.Command.
 func (c *gatewayCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 0 || c.path == "" {
-		f.Usage()
+	if !c.given(f) {
 		return exitUsage
 	}
 	// SIGHUP ends a process that does not ask for it, so it comes first.
--- a/cmd/query.go
+++ b/cmd/query.go
@@ -16,11 +16,8 @@
 
 // queryCommand searches a collection.
 type queryCommand struct {
-	printer
-	client
-	collection string
-	limit      int
-	deadlineMS int64
+	requestCommand
+	limit int
 }
 
 // Name implements subcommands.Command.
@@ -40,12 +37,8 @@
 
 // SetFlags implements subcommands.Command.
 func (c *queryCommand) SetFlags(f *flag.FlagSet) {
-	c.setFlags(f)
-	f.StringVar(&c.address, "address", "127.0.0.1:7001", "caller address of an instance")
-	f.StringVar(&c.token, "token", "", "bearer token of the tenant")
-	f.StringVar(&c.collection, "collection", "", "collection to search")
+	c.setRequestFlags(f, "collection to search")
 	f.IntVar(&c.limit, "limit", 10, "hits wanted")
-	f.Int64Var(&c.deadlineMS, "deadline", 1000, "time allowed, in ms")
 }
 
 // Execute implements subcommands.Command.
@@ -84,17 +77,3 @@
 		fmt.Fprintf(w, "  %8.4f  %s  %s\n", h.Score, h.ID, h.Text)
 	}
 }
-
-// refused prints a refusal and returns its exit code.
-func (p *printer) refused(e caller.Error) subcommands.ExitStatus {
-	p.print(e, func(w io.Writer) {
-		fmt.Fprintf(w, "%s (%s): %s\n", e.Code, e.Outcome, e.Message)
-		if e.RetryAfterMS > 0 {
-			fmt.Fprintf(w, "  come back in %d ms\n", e.RetryAfterMS)
-		}
-	})
-	if e.Outcome == caller.OutcomeNotRun {
-		return exitRefused
-	}
-	return exitUnknown
-}
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -16,11 +16,8 @@
 
 // runCommand sends a request that may not be repeated.
 type runCommand struct {
-	printer
-	client
-	collection string
-	key        string
-	deadlineMS int64
+	requestCommand
+	key string
 }
 
 // Name implements subcommands.Command.
@@ -42,12 +39,8 @@
 
 // SetFlags implements subcommands.Command.
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
-	c.setFlags(f)
-	f.StringVar(&c.address, "address", "127.0.0.1:7001", "caller address of an instance")
-	f.StringVar(&c.token, "token", "", "bearer token of the tenant")
-	f.StringVar(&c.collection, "collection", "", "collection that takes the request")
+	c.setRequestFlags(f, "collection that takes the request")
 	f.StringVar(&c.key, "key", "", "idempotency key")
-	f.Int64Var(&c.deadlineMS, "deadline", 1000, "time allowed, in ms")
 }
 
 // Execute implements subcommands.Command.
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -18,7 +18,7 @@
 
 // serveCommand runs one instance.
 type serveCommand struct {
-	path string
+	settingsCommand
 }
 
 // Name implements subcommands.Command.
@@ -39,15 +39,9 @@
 ` + exitCodesHelp
 }
 
-// SetFlags implements subcommands.Command.
-func (c *serveCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.path, "settings", "", "settings file, JSON with comments")
-}
-
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 0 || c.path == "" {
-		f.Usage()
+	if !c.given(f) {
 		return exitUsage
 	}
 	s, err := settings.Load(c.path)
