--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/message"
 	"knapweedstall/core/topology"
+	"knapweedstall/io/jsonerror"
 )
 
 // Limits on what a caller may send.
@@ -201,26 +202,13 @@
 	return nil
 }
 
-// writeError sends err as an Error with its status and, where there is one, the
-// time to come back.
-func writeError(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	var e *Error
-	var h *echo.HTTPError
-	switch {
-	case errors.As(err, &e):
-	case errors.As(err, &h) && h.Code == http.StatusNotFound:
-		e = NotRun(CodeNotFound, 0, "no such route")
-	case errors.As(err, &h):
-		e = NotRun(CodeBadRequest, 0, http.StatusText(h.Code))
-	default:
-		e = &Error{Code: CodeUnavailable, Message: "internal error", Outcome: OutcomeUnknown}
-	}
-	if e.RetryAfterMS > 0 {
-		seconds := (e.RetryAfterMS + clock.Second - 1) / clock.Second
-		c.Response().Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
-	}
-	_ = c.JSON(e.Status(), e) // the caller has gone when this fails
-}
+var writeError = jsonerror.Handler(
+	func(status int) *Error {
+		if status == http.StatusNotFound {
+			return NotRun(CodeNotFound, 0, jsonerror.Message(status))
+		}
+		return NotRun(CodeBadRequest, 0, jsonerror.Message(status))
+	},
+	func() *Error {
+		return &Error{Code: CodeUnavailable, Message: "internal error", Outcome: OutcomeUnknown}
+	})
--- a/io/caller/wire.go
+++ b/io/caller/wire.go
@@ -104,6 +104,9 @@
 	return &Error{Code: code, Message: message, Outcome: OutcomeNotRun, RetryAfterMS: retryAfter}
 }
 
+// RetryAfter implements jsonerror.Error.
+func (e *Error) RetryAfter() clock.Duration { return e.RetryAfterMS }
+
 // Status returns the HTTP status for e.
 func (e *Error) Status() int {
 	switch e.Code {
--- /dev/null
+++ b/io/jsonerror/jsonerror.go
@@ -0,0 +1,56 @@
+// Package jsonerror answers HTTP requests that fail with the errors of an
+// interface, as JSON.
+package jsonerror
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"knapweedstall/core/clock"
+)
+
+// Error is an error that an interface states. Its JSON form is the body of the
+// answer.
+type Error interface {
+	error
+	// Status returns the HTTP status.
+	Status() int
+	// RetryAfter returns when to come back, or 0 when that is of no use.
+	RetryAfter() clock.Duration
+}
+
+// Handler returns the error handler of an interface whose errors are of type E.
+// refused returns the error for a request that no route takes, or that echo can't
+// read, with its HTTP status; internal returns the one for all other errors.
+func Handler[E Error](refused func(status int) E, internal func() E) echo.HTTPErrorHandler {
+	return func(err error, c echo.Context) {
+		if c.Response().Committed {
+			return
+		}
+		var e E
+		var h *echo.HTTPError
+		switch {
+		case errors.As(err, &e):
+		case errors.As(err, &h):
+			e = refused(h.Code)
+		default:
+			e = internal()
+		}
+		if after := e.RetryAfter(); after > 0 {
+			seconds := (after + clock.Second - 1) / clock.Second
+			c.Response().Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		}
+		_ = c.JSON(e.Status(), e) // the other side has gone when this fails
+	}
+}
+
+// Message describes a refused request by its HTTP status.
+func Message(status int) string {
+	if status == http.StatusNotFound {
+		return "no such route"
+	}
+	return http.StatusText(status)
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/io/jsonerror"
 )
 
 // MaxTicketBytes bounds the body of a filed ticket.
@@ -51,6 +51,9 @@
 // Error implements error.
 func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
 
+// RetryAfter implements jsonerror.Error.
+func (e *Error) RetryAfter() clock.Duration { return e.RetryAfterMS }
+
 // Status returns the HTTP status for e.
 func (e *Error) Status() int {
 	switch e.Code {
@@ -192,20 +195,11 @@
 	}
 }
 
-func writeError(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	var e *Error
-	var h *echo.HTTPError
-	switch {
-	case errors.As(err, &e):
-	case errors.As(err, &h) && h.Code == http.StatusNotFound:
-		e = &Error{Code: CodeNotFound, Message: "no such route"}
-	case errors.As(err, &h):
-		e = &Error{Code: CodeInvalid, Message: http.StatusText(h.Code)}
-	default:
-		e = &Error{Code: CodeUnavailable, Message: "internal error"}
-	}
-	_ = c.JSON(e.Status(), e) // the operator has gone when this fails
-}
+var writeError = jsonerror.Handler(
+	func(status int) *Error {
+		if status == http.StatusNotFound {
+			return &Error{Code: CodeNotFound, Message: jsonerror.Message(status)}
+		}
+		return &Error{Code: CodeInvalid, Message: jsonerror.Message(status)}
+	},
+	func() *Error { return &Error{Code: CodeUnavailable, Message: "internal error"} })
