--- a/gateway/instances.go
+++ b/gateway/instances.go
@@ -23,11 +23,7 @@
 // all instances of a new system have registered.
 func (g *Gateway) firstInstances(ctx context.Context) {
 	g.readInstances(ctx, true)
-	registered := make(chan struct{})
-	go func() {
-		defer close(registered)
-		g.register(ctx)
-	}()
+	go g.register(ctx)
 	sleep(ctx, firstListing)
 	g.readInstances(ctx, false)
 }
