Leave sends that were given back out of the log

Found on reading: a search refused without any send was logged with the number of sends that had been planned. The test of such a refusal checks the counts, and failed before. askPaced is the better name, since nothing is forced any more.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -82,17 +82,17 @@
 		}
 		c.send(i, replica.First, now)
 	}
-	c.forcePaced(now)
+	c.askPaced(now)
 	if !c.reachable() {
 		c.withdraw(now)
 	}
 	return c, c.take()
 }
 
-// forcePaced sends to as many of the services whose targets answer too late as
-// an answer needs. The other ones are left out: asking all of them each time
+// askPaced sends to as many of the services whose targets answer too late as an
+// answer needs. The other ones are left out: asking all of them each time
 // would make each of them later still.
-func (c *Call) forcePaced(now clock.Time) {
+func (c *Call) askPaced(now clock.Time) {
 	var paced []int
 	open := 0
 	for i := range c.shards {
@@ -111,11 +111,10 @@
 	}
 }
 
-// withdraw gives back the sends that were not taken yet.
+// withdraw gives back all first sends before the driver has taken them.
 func (c *Call) withdraw(now clock.Time) {
-	for _, send := range c.sends {
-		a, s := &c.attempts[send.Attempt], &c.shards[send.Shard]
-		a.ended, a.outcome = true, replica.Canceled
+	for _, a := range c.attempts {
+		s := &c.shards[a.shard]
 		c.targets.Ended(a.target, replica.Result{Outcome: replica.Canceled}, now)
 		if a.repeat {
 			c.budget.Refund(s.service, now)
@@ -125,7 +124,7 @@
 		s.reached--
 		s.hopeless = true
 	}
-	c.sends = nil
+	c.attempts, c.sends = nil, nil
 }
 
 // reachable reports whether enough shards are or may still be answered.
@@ -239,7 +238,7 @@
 	}
 	if s.underWay == 0 {
 		c.again(a.shard, outcome, now)
-		c.forcePaced(now)
+		c.askPaced(now)
 	}
 	return c.take()
 }
@@ -296,7 +295,7 @@
 			c.send(i, replica.Needed, now)
 		}
 	}
-	c.forcePaced(now)
+	c.askPaced(now)
 	return c.take()
 }
 
--- a/core/fanout/call_test.go
+++ b/core/fanout/call_test.go
@@ -177,6 +177,9 @@
 		if got := call.State(10); got != fanout.Refused || len(sends) != 0 {
 			t.Errorf("state %q after %d sends, want a refusal without any", got, len(sends))
 		}
+		if diff := cmp.Diff(fanout.Counts{}, call.Counts()); diff != "" {
+			t.Errorf("sends that the log tells of (-want +got):\n%s", diff)
+		}
 		for range 4 { // two connections to each target of the service are left
 			if c := w.targets.Pick("a", &routing.Service{MaxConnections: 1}, nil, replica.First, 11); c.Target == nil {
 				t.Errorf("a target is still counted as busy: %s", c.Reason)
