Count the open and the needed shards of a search in one place

The shards that may still be answered were counted in three loops, and the coverage was compared in three forms. State walked the shards up to three times at each outcome. No change of behaviour.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -83,7 +83,7 @@
 		c.send(i, replica.First, now)
 	}
 	c.askPaced(now)
-	if !c.reachable() {
+	if !c.enough(c.open()) {
 		c.withdraw(now)
 	}
 	return c, c.take()
@@ -93,18 +93,17 @@
 // answer needs. The other ones are left out: asking all of them each time
 // would make each of them later still.
 func (c *Call) askPaced(now clock.Time) {
+	lacking := c.needed() - c.open()
+	if lacking <= 0 {
+		return
+	}
 	var paced []int
-	open := 0
 	for i := range c.shards {
-		switch s := &c.shards[i]; {
-		case !s.hopeless:
-			open++
-		case s.reason == replica.Paced && s.ran < c.terms.MaxAttempts:
+		if s := &c.shards[i]; s.hopeless && s.reason == replica.Paced && s.ran < c.terms.MaxAttempts {
 			paced = append(paced, i)
 		}
 	}
-	needed := int(math.Ceil(c.terms.MinCoverage*float64(len(c.shards)))) - open
-	for k := range min(needed, len(paced)) {
+	for k := range min(lacking, len(paced)) {
 		i := paced[(int(now)+k)%len(paced)] // a different one each time
 		c.shards[i].hopeless = false
 		c.send(i, replica.Needed, now)
@@ -127,15 +126,28 @@
 	c.attempts, c.sends = nil, nil
 }
 
-// reachable reports whether enough shards are or may still be answered.
-func (c *Call) reachable() bool {
-	open := 0
+// open returns the number of shards that are or may still be answered.
+func (c *Call) open() int {
+	n := 0
 	for i := range c.shards {
-		if s := &c.shards[i]; s.answered || !s.hopeless {
-			open++
+		if !c.shards[i].hopeless { // an answered shard never is
+			n++
 		}
 	}
-	return open > 0 && float64(open) >= c.terms.MinCoverage*float64(len(c.shards))
+	return n
+}
+
+// needed returns the number of shards that an answer needs.
+func (c *Call) needed() int {
+	return int(math.Ceil(c.terms.MinCoverage * float64(len(c.shards))))
+}
+
+// enough reports whether n shards are enough for an answer.
+func (c *Call) enough(n int) bool { return n > 0 && n >= c.needed() }
+
+// mayHaveRun reports whether a target may have run the request.
+func (c *Call) mayHaveRun() bool {
+	return c.terms.Repeat || slices.ContainsFunc(c.shards, func(s shard) bool { return s.ran > 0 })
 }
 
 func (c *Call) take() []Send {
@@ -322,7 +334,7 @@
 			next = t
 		}
 	}
-	if c.enough() {
+	if c.enough(c.answered) {
 		earlier(c.terms.Early)
 	}
 	for i := range c.shards {
@@ -334,10 +346,6 @@
 	return next
 }
 
-func (c *Call) enough() bool {
-	return c.answered > 0 && float64(c.answered) >= c.terms.MinCoverage*float64(len(c.shards))
-}
-
 // State returns what becomes of the call at now. Once it is final, no answer
 // counts any more.
 func (c *Call) State(now clock.Time) State {
@@ -349,28 +357,21 @@
 }
 
 func (c *Call) state(now clock.Time) State {
-	hopeless, ran := 0, c.terms.Repeat
-	for i := range c.shards {
-		s := &c.shards[i]
-		ran = ran || s.ran > 0
-		if !s.answered && s.hopeless {
-			hopeless++
-		}
-	}
+	open, enough := c.open(), c.enough(c.answered)
 	switch {
 	case c.answered == len(c.shards):
 		return Complete
-	case c.enough() && (c.answered+hopeless == len(c.shards) || !now.Before(c.terms.End)):
+	case enough && (c.answered == open || !now.Before(c.terms.End)):
 		return Partial
-	case c.enough() && c.terms.Early != 0 && !now.Before(c.terms.Early):
+	case enough && c.terms.Early != 0 && !now.Before(c.terms.Early):
 		return Partial
-	case !c.reachable() && !ran:
+	case !c.enough(open) && !c.mayHaveRun():
 		return Refused
-	case !c.reachable():
+	case !c.enough(open):
 		return Failure
 	case now.Before(c.terms.End):
 		return Open
-	case ran:
+	case c.mayHaveRun():
 		return TimedOut
 	default:
 		return Expired
