Build the terms of a search in one place

The terms of a search of its own callers and of one handed over by another instance were built twice. The field Repeat of a handed-over search was never set and is gone. No change of behaviour.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -140,7 +140,7 @@
 	q := g.openRequest(route, g.clock.Now())
 	q.out = upstream.Request{ID: s.RequestID, Method: s.Method, Head: s.Head, Body: s.Body}
 	q.print, q.version = s.Fingerprint, table.Config.Version
-	q.terms = searchTerms(route, q.arrived, s)
+	q.terms = searchTerms(route, q.arrived, max(s.Remaining, 1), max(s.Early, 1))
 	q.start(table)
 	defer q.finish()
 	q.wait(ctx)
@@ -152,16 +152,3 @@
 	}
 	return a
 }
-
-// searchTerms returns what a search of another instance must keep to.
-func searchTerms(route *routing.Route, now clock.Time, s delegate.Search) fanout.Terms {
-	t := fanout.Terms{
-		Kind: route.Kind, Services: route.Shards, MaxAttempts: route.MaxAttempts, MinCoverage: route.MinCoverage,
-		End: now.Add(max(s.Remaining, 1)), Repeat: s.Repeat,
-	}
-	t.RefuseBy = now.Add(min(s.Remaining, clock.Duration(shardWaitShare*float64(route.Objective))))
-	if route.Objective > 0 {
-		t.Early = now.Add(max(s.Early, 1))
-	}
-	return t
-}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -180,17 +180,26 @@
 	if route.Timeout > 0 {
 		limit = min(limit, route.Timeout)
 	}
-	t := fanout.Terms{
+	if route.IsSearch() {
+		return searchTerms(route, arrived, limit, fanout.EarlyAnswer(route.Objective))
+	}
+	return fanout.Terms{
 		Kind: route.Kind, Services: services, MaxAttempts: route.MaxAttempts, MinCoverage: 1,
 		End:      arrived.Add(limit),
 		RefuseBy: arrived.Add(min(limit, clock.Duration(refuseShare*float64(route.Objective)))),
 	}
-	if route.IsSearch() {
-		t.MinCoverage = route.MinCoverage
-		t.RefuseBy = arrived.Add(min(limit, clock.Duration(shardWaitShare*float64(route.Objective))))
-		if route.Objective > 0 {
-			t.Early = arrived.Add(fanout.EarlyAnswer(route.Objective))
-		}
+}
+
+// searchTerms returns what a search must keep to that is given up after limit. One
+// with an objective is answered after early although shards are missing.
+func searchTerms(route *routing.Route, now clock.Time, limit, early clock.Duration) fanout.Terms {
+	t := fanout.Terms{
+		Kind: route.Kind, Services: route.Shards, MaxAttempts: route.MaxAttempts, MinCoverage: route.MinCoverage,
+		End:      now.Add(limit),
+		RefuseBy: now.Add(min(limit, clock.Duration(shardWaitShare*float64(route.Objective)))),
+	}
+	if route.Objective > 0 {
+		t.Early = now.Add(early)
 	}
 	return t
 }
--- a/io/delegate/delegate.go
+++ b/io/delegate/delegate.go
@@ -27,7 +27,6 @@
 	Body      []byte         `cbor:"6,keyasint"`
 	Remaining clock.Duration `cbor:"7,keyasint"` // until it is given up
 	Early     clock.Duration `cbor:"8,keyasint"` // until an answer goes out although shards are missing
-	Repeat    bool           `cbor:"9,keyasint"` // targets may have got it before
 	// Fingerprint is that of the caller's request, which a request sent again
 	// has too. Head differs, since it holds the request's id.
 	Fingerprint poison.Fingerprint `cbor:"10,keyasint"`
