--- a/e2e/instance_test.go
+++ b/e2e/instance_test.go
@@ -171,31 +171,18 @@
 func (c *cluster) sendRuns(route func() []*member) func() map[string]runReply {
 	var mu sync.Mutex
 	replies := map[string]runReply{}
-	done := make(chan struct{})
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		tick := time.NewTicker(runPeriod)
-		defer tick.Stop()
-		for n := 0; ; n++ {
-			select {
-			case <-done:
-				return
-			case <-tick.C:
-			}
-			members := route()
-			if len(members) == 0 {
-				continue
-			}
-			wait.Go(func() {
-				key := fmt.Sprintf("rolling-%d", n)
-				reply := c.runOnce(members[n%len(members)], runRequest{tokenA, tenantA, "ledgerline", key})
-				mu.Lock()
-				defer mu.Unlock()
-				replies[key] = reply
-			})
+	stop := c.every(runPeriod, func(n int, wait *sync.WaitGroup) {
+		members := route()
+		if len(members) == 0 {
+			return
 		}
+		wait.Go(func() {
+			key := fmt.Sprintf("rolling-%d", n)
+			reply := c.runOnce(members[n%len(members)], runRequest{tokenA, tenantA, "ledgerline", key})
+			mu.Lock()
+			defer mu.Unlock()
+			replies[key] = reply
+		})
 	})
-	stop := sync.OnceFunc(func() { close(done); wait.Wait() })
-	c.t.Cleanup(stop)
 	return func() map[string]runReply { stop(); return replies }
 }
--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -79,10 +79,21 @@
 // does not wait for the answers of earlier ones.
 func (c *cluster) send(deadline clock.Duration, text func(n int) string, route func() []*member) *traffic {
 	tr := &traffic{}
+	tr.stop = c.every(trafficPeriod, func(n int, wait *sync.WaitGroup) {
+		for _, m := range route() {
+			wait.Go(func() { tr.add(c.sample(m, deadline, text(n))) })
+		}
+	})
+	return tr
+}
+
+// every calls do each period with the number of the call, until the returned
+// function or the end of the test. That waits for what do has put into wait.
+func (c *cluster) every(period time.Duration, do func(n int, wait *sync.WaitGroup)) (stop func()) {
 	done := make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		tick := time.NewTicker(trafficPeriod)
+		tick := time.NewTicker(period)
 		defer tick.Stop()
 		for n := 0; ; n++ {
 			select {
@@ -90,14 +101,12 @@
 				return
 			case <-tick.C:
 			}
-			for _, m := range route() {
-				wait.Go(func() { tr.add(c.sample(m, deadline, text(n))) })
-			}
+			do(n, &wait)
 		}
 	})
-	tr.stop = sync.OnceFunc(func() { close(done); wait.Wait() })
-	c.t.Cleanup(tr.stop)
-	return tr
+	stop = sync.OnceFunc(func() { close(done); wait.Wait() })
+	c.t.Cleanup(stop)
+	return stop
 }
 
 func (c *cluster) sendThrough(members ...*member) *traffic {
