--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -69,21 +69,21 @@
 func (l *Ledger) Refused(f Fingerprint, nowUnixMS int64) bool {
 	n := 0
 	for _, at := range l.crashes[f] {
-		if nowUnixMS-at < memoryMS {
+		if counts(at, nowUnixMS) {
 			n++
 		}
 	}
 	return n >= refuseFrom
 }
 
-// Expired reports whether a crash no longer counts.
-func Expired(c Crash, nowUnixMS int64) bool { return nowUnixMS-c.UnixMS >= memoryMS }
+// counts reports whether a crash that was seen at a time still counts.
+func counts(at, nowUnixMS int64) bool { return nowUnixMS-at < memoryMS }
 
 // Forget drops the crashes that no longer count.
 func (l *Ledger) Forget(nowUnixMS int64) {
 	for f, of := range l.crashes {
 		for target, at := range of {
-			if nowUnixMS-at >= memoryMS {
+			if !counts(at, nowUnixMS) {
 				delete(of, target)
 			}
 		}
