Bound what a target may send, and survive an answer on a closed link

Cause: http.ReadResponse reads a head of any size, interim answers were not counted, and a body of up to 8 MB got its memory before a byte had arrived.

--- a/io/delegate/client.go
+++ b/io/delegate/client.go
@@ -150,6 +150,7 @@
 	for _, answers := range l.waiting {
 		close(answers)
 	}
+	clear(l.waiting) // a message that was read before must not be sent to a closed channel
 }
 
 // removeLink removes l from the client, so that the next search opens a new link.
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -18,7 +18,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), target: id, opened: p.clock.Now(), idleTimeout: defaultIdleTimeout}, nil
+	limit := &limitedConn{Conn: nc}
+	return &conn{Conn: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), target: id, opened: p.clock.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // close closes the connection. It is only called for a connection that is no longer
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -33,7 +33,8 @@
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader      *bufio.Reader
+	limit       *limitedConn  // bounds what reader reads
+	reader      *bufio.Reader // reads from limit
 	target      topology.TargetID
 	opened      clock.Time
 	idleSince   clock.Time
@@ -45,6 +46,7 @@
 type Pool struct {
 	clock  clock.Clock
 	dialer net.Dialer
+	large  reservation // of the bodies that are being read
 
 	mu     sync.Mutex
 	idle   map[topology.TargetID][]*conn // most recently used last
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"knapweedstall/core/clock"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/topology"
@@ -16,7 +17,6 @@
 
 // Limits of requests and answers.
 const (
-	maxAnswerBytes    = 8 << 20
 	maxSkippedAnswers = 2     // answers to earlier requests that are skipped
 	largeBodyBytes    = 16384 // a larger body is written while the answer is read
 )
@@ -125,19 +125,24 @@
 // An answer with another request id belongs to an earlier request and is skipped.
 func (p *Pool) read(c *conn, r *Request) (res Result, reusable bool) {
 	request := &http.Request{Method: r.Method}
-	for skipped := 0; ; skipped++ {
+	for skipped, interim := 0, 0; ; skipped++ {
+		c.limit.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // readBody closes it
 		if err != nil {
-			return Result{Outcome: replica.Lost, Err: err, ConnectionBroken: true}, false
+			return lostAnswer(err), false
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				return lostAnswer(&TooLargeError{Limit: maxInterim}), false
+			}
 			skipped-- // an interim answer does not count
 			continue
 		}
 		reply := platform.ParseReply(resp.StatusCode, resp.Header)
-		body, err := readBody(resp)
+		c.limit.left = maxAnswerBytes + maxHeadBytes
+		body, err := p.large.readBody(resp)
 		if err != nil {
-			return Result{Outcome: replica.Lost, Err: err, ConnectionBroken: true}, false
+			return lostAnswer(err), false
 		}
 		if reply.RequestID != "" && reply.RequestID != r.ID {
 			if skipped == maxSkippedAnswers {
@@ -153,18 +158,11 @@
 	}
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }() // the body has been read
-	if n := resp.ContentLength; n >= 0 && n <= maxAnswerBytes {
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = &TooLargeError{Limit: maxAnswerBytes}
-	}
-	return body, err
+// lostAnswer returns the result of a send whose answer could not be read. The target may
+// have crashed, unless it has sent too much.
+func lostAnswer(err error) Result {
+	var tooLarge *TooLargeError
+	return Result{Outcome: replica.Lost, Err: err, ConnectionBroken: !errors.As(err, &tooLarge)}
 }
 
 func classify(resp *http.Response, reply platform.Reply, body []byte) Result {
--- a/io/upstream/send_test.go
+++ b/io/upstream/send_test.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -231,3 +234,89 @@
 		t.Errorf("sent %s to %s with %s ms left", sent.RequestURI, sent.Host, left)
 	}
 }
+
+// endless writes text again and again until the connection is closed, and counts the
+// bytes.
+func endless(before, text string, written *atomic.Int64) connScript {
+	return func(c net.Conn, next func() *http.Request) {
+		if next() == nil {
+			return
+		}
+		_, _ = io.WriteString(c, before)
+		chunk := []byte(strings.Repeat(text, 1+4096/len(text)))
+		for {
+			n, err := c.Write(chunk)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// TestEndlessAnswers guards against a target that sends bytes without end: the send
+// must fail soon, and the bytes that are read must be bounded.
+func TestEndlessAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, text string
+		limit        int64 // bytes that the target may have written, buffers of the system included
+	}{
+		"status line":       {"", "x", 12 << 20},
+		"header line":       {"HTTP/1.1 200 OK\r\nX-Long: ", "x", 12 << 20},
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "X-Many: x\r\n", 12 << 20},
+		"interim answers":   {"", "HTTP/1.1 100 Continue\r\n\r\n", 12 << 20},
+		"body without size": {"HTTP/1.1 200 OK\r\n\r\n", "x", 20 << 20},
+		"chunks":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 20 << 20},
+		"chunk extension":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x", 20 << 20},
+		"trailers":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Many: x\r\n", 20 << 20},
+		"stated size":       {"HTTP/1.1 200 OK\r\nContent-Length: 900000000000\r\n\r\n", "x", 12 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			pool := upstream.NewPool(osclock.New())
+			target := newScriptedTarget(t, endless(c.before, c.text, &written), answerEach(answer("2", "yes")))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if got := send(ctx, pool, target, request("1")); got.Outcome != replica.Lost {
+				t.Errorf("outcome %q, want %q", got.Outcome, replica.Lost)
+			}
+			if got := written.Load(); got > c.limit {
+				t.Errorf("the target wrote %d bytes, want at most %d", got, c.limit)
+			}
+			if got := send(t.Context(), pool, target, request("2")); got.Outcome != replica.Answered {
+				t.Errorf("the next request ended as %q, want %q", got.Outcome, replica.Answered)
+			}
+		})
+	}
+}
+
+// TestStatedSizesTakeNoMemory guards against targets that state a large body and send
+// little of it: many of them must not use up the memory of the process.
+func TestStatedSizesTakeNoMemory(t *testing.T) {
+	const sends = 100
+	script := func(c net.Conn, next func() *http.Request) {
+		if next() != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\nx")
+			_, _ = io.Copy(io.Discard, c)
+		}
+	}
+	scripts := make([]connScript, sends)
+	for i := range scripts {
+		scripts[i] = script
+	}
+	target := newScriptedTarget(t, scripts...)
+	pool := upstream.NewPool(osclock.New())
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	for range sends {
+		wait.Go(func() { send(ctx, pool, target, request("1")) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	var used runtime.MemStats
+	runtime.ReadMemStats(&used)
+	cancel()
+	wait.Wait()
+	if limit := uint64(64 << 20); used.HeapAlloc > limit {
+		t.Errorf("%d bytes of memory in use for %d answers of which one byte has arrived, want at most %d", used.HeapAlloc, sends, limit)
+	}
+}
