--- a/core/fanout/call_test.go
+++ b/core/fanout/call_test.go
@@ -184,8 +184,8 @@
 		if diff := cmp.Diff(fanout.Counts{}, call.Counts()); diff != "" {
 			t.Errorf("counts of sends (-want +got):\n%s", diff)
 		}
-		for range 4 { // each of the two targets has two connections
-			if c := env.targets.Pick("a", &routing.Service{MaxConnections: 1}, nil, replica.First, 11); c.Target == nil {
+		for range 4 { // two connections of this instance to each of the two targets
+			if c := env.targets.Pick("a", &routing.Service{MaxConnections: 40}, nil, replica.First, 11); c.Target == nil {
 				t.Errorf("a target of the refused call still counts its send: %s", c.Reason)
 			}
 		}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -82,6 +82,9 @@
 	// evacuated holds the zones whose targets get no requests.
 	evacuated map[topology.ZoneID]bool
 	instances int // that use the targets; 0 when not known
+	// searchShare is this instance's share of all searches, 0 to 1.
+	searchShare float64
+	isShard     func(routing.ServiceName) bool // reports whether a service is a shard of searches
 	// maySendCold reports whether this instance may send to a cold target when
 	// only the given number of instances may.
 	maySendCold func(topology.TargetID, int) bool
@@ -95,16 +98,20 @@
 		services:    map[routing.ServiceName][]*Target{},
 		evacuated:   map[topology.ZoneID]bool{},
 		maySendCold: func(topology.TargetID, int) bool { return false },
+		isShard:     func(routing.ServiceName) bool { return false },
 	}
 }
 
-// SetInstances sets the number of instances that use the targets. maySendCold
-// reports whether this instance may send to a cold target when only n instances
-// may.
-func (s *Set) SetInstances(n int, maySendCold func(id topology.TargetID, n int) bool) {
-	s.instances, s.maySendCold = n, maySendCold
+// SetInstances sets the number of instances that use the targets, and the share of all
+// searches, 0 to 1, that this one runs. maySendCold reports whether this instance may
+// send to a cold target when only n instances may.
+func (s *Set) SetInstances(n int, searchShare float64, maySendCold func(id topology.TargetID, n int) bool) {
+	s.instances, s.searchShare, s.maySendCold = n, searchShare, maySendCold
 }
 
+// SetShards sets the function that reports whether a service is a shard of searches.
+func (s *Set) SetShards(isShard func(routing.ServiceName) bool) { s.isShard = isShard }
+
 // SetEvacuated replaces the zones whose targets get no requests. It reports
 // whether they changed.
 func (s *Set) SetEvacuated(zones map[topology.ZoneID]bool) bool {
@@ -252,13 +259,18 @@
 }
 
 // maxConnections returns how many connections this instance may have to a target
-// of the service.
+// of the service. The instances share the connections to shards by the searches that
+// they run, and the others equally. Each may have one, so that it can serve.
 func (s *Set) maxConnections(svc *routing.Service) int {
 	const defaultConnections = 64
 	if svc == nil || svc.MaxConnections <= 0 {
 		return defaultConnections
 	}
-	return max(2, int(connectionShare*float64(svc.MaxConnections)/float64(s.instanceCount())))
+	share := 1 / float64(s.instanceCount())
+	if s.searchShare > 0 && s.isShard(svc.Name) {
+		share = s.searchShare
+	}
+	return max(1, int(connectionShare*float64(svc.MaxConnections)*share))
 }
 
 // instanceCount returns the number of instances, or defaultInstances when it is
--- a/core/replica/set_test.go
+++ b/core/replica/set_test.go
@@ -226,7 +226,7 @@
 // connections that a target accepts from all instances together.
 func TestConnectionsAreShared(t *testing.T) {
 	s := newSet(1, listing("a", "z1"))
-	s.SetInstances(10, func(topology.TargetID, int) bool { return true })
+	s.SetInstances(10, 0, anySender)
 	svc := &routing.Service{Name: "s", MaxConnections: 50}
 	sent := 0
 	for s.Pick("s", svc, nil, replica.First, 10).Target != nil {
@@ -240,6 +240,44 @@
 	}
 }
 
+// anySender allows each instance to send to cold targets.
+func anySender(topology.TargetID, int) bool { return true }
+
+// concurrent returns how many requests at the same time s sends to the targets of the
+// service.
+func concurrent(s *replica.Set, svc *routing.Service) int {
+	sent := 0
+	for s.Pick(svc.Name, svc, nil, replica.First, 10).Target != nil {
+		sent++
+	}
+	return sent
+}
+
+// TestConnectionsOfManyInstances guards against instances that together open more
+// connections than a target accepts, which then resets them: hundreds of instances use
+// each target, and a few large ones run the searches.
+func TestConnectionsOfManyInstances(t *testing.T) {
+	const large, small, plainLimit, shardLimit = 21, 274, 370, 175
+	plain := &routing.Service{Name: "s", MaxConnections: plainLimit}
+	shard := &routing.Service{Name: "s", MaxConnections: shardLimit}
+	open := func(svc *routing.Service, searchShare float64) int {
+		s := newSet(1, listing("a", "z1"))
+		s.SetInstances(large+small, searchShare, anySender)
+		s.SetShards(func(routing.ServiceName) bool { return svc == shard })
+		return concurrent(s, svc)
+	}
+	const largeShare, smallShare = 0.027, 0.0016
+	if got := large*open(plain, largeShare) + small*open(plain, smallShare); got > plainLimit {
+		t.Errorf("%d connections to a target that accepts %d", got, plainLimit)
+	}
+	if got := open(shard, largeShare); got < 3 || large*got > shardLimit {
+		t.Errorf("%d connections of each large instance to a shard that accepts %d, want 3 or more and not too many", got, shardLimit)
+	}
+	if got := open(shard, smallShare); got != 1 {
+		t.Errorf("%d connections of a small instance to a shard, want 1", got)
+	}
+}
+
 // TestColdTargetRate checks that all instances together keep within the request
 // rate of a cold target and make use of it.
 func TestColdTargetRate(t *testing.T) {
@@ -251,7 +289,7 @@
 		var sets []*replica.Set
 		for i := range instances {
 			s := newSet(1, cold)
-			s.SetInstances(instances, func(_ topology.TargetID, n int) bool { return i < n })
+			s.SetInstances(instances, 0, func(_ topology.TargetID, n int) bool { return i < n })
 			sets = append(sets, s)
 		}
 		var sent []clock.Time
--- /dev/null
+++ b/core/source/chooser.go
@@ -0,0 +1,200 @@
+// Package source decides where an instance takes its copies of the store's objects
+// from. One instance of each zone watches the store, and the others of the zone follow
+// it, that is, they receive changes from it, because each call to the store has a
+// cost. An instance that another one follows is a source of that one.
+//
+// The order of Compare decides which instance watches, without coordination: an
+// instance follows an instance of its zone that precedes it in this order and is up to
+// date, and watches the store itself when there is none. If two instances watch, that
+// only costs additional calls. While the store does not answer, only the first few
+// instances of a zone, called its readers, poll it. The others wait for them, so that
+// the number of calls does not grow with the number of instances.
+package source
+
+import (
+	"slices"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/placing"
+)
+
+// Parameters of the choice.
+const (
+	// readers is the number of instances of a zone that read the store when no
+	// instance of the zone is up to date. With one alone, the zone would miss changes
+	// while the store turns only that one away.
+	readers = 3
+	// largeZone is the number of instances from which on the readers share the
+	// followers of their zone.
+	largeZone = 16
+	// staleRetryDelay is the delay until a candidate is tried again that could be
+	// reached but was not up to date, or that was followed and lost. It doubles with
+	// each attempt up to maxStaleRetryDelay.
+	staleRetryDelay    = 500 * clock.Millisecond
+	maxStaleRetryDelay = 2 * clock.Second
+	// unreachableRetryDelay is the delay until a candidate is tried again that could
+	// not be reached. It doubles with each attempt up to maxUnreachableRetryDelay.
+	unreachableRetryDelay    = 250 * clock.Millisecond
+	maxUnreachableRetryDelay = 8 * clock.Second
+	// startTime is the time within which instances that start together begin to
+	// listen. Until then, an instance does not read the store in place of another one.
+	startTime = 400 * clock.Millisecond
+	// readerWait is the additional time without a source after which each further
+	// reader watches the store. It limits the calls after a source has failed.
+	readerWait = 400 * clock.Millisecond
+	// maxSearchTime bounds the time for which an instance tries candidates that can't
+	// be reached before it watches the store itself.
+	maxSearchTime = 1500 * clock.Millisecond
+	// maxLoadTime bounds the time for which an instance without copies of all kinds
+	// waits for the readers.
+	maxLoadTime = 4 * clock.Second
+	// pollPeriod is the time between two looks for a source while the instance waits.
+	pollPeriod = 250 * clock.Millisecond
+)
+
+// Action is what an instance does next to keep its copies up to date.
+type Action int
+
+// Actions.
+const (
+	Wait   Action = iota // wait for Step.Wait
+	Follow               // follow the instance at Step.Address
+	Watch                // read and watch the store
+)
+
+// Step is the next step of an instance.
+type Step struct {
+	Action  Action
+	Address string         // of the instance to follow
+	Wait    clock.Duration // time to wait
+}
+
+// Outcome is how following a candidate ended.
+type Outcome int
+
+// Outcomes of following a candidate.
+const (
+	Unreachable Outcome = iota // it sent nothing
+	Stale                      // it was not up to date
+	Lost                       // it was up to date, and was lost or is no longer up to date
+)
+
+// attempt is the state of one candidate.
+type attempt struct {
+	outcome  Outcome
+	failures int        // consecutive attempts with this outcome
+	retryAt  clock.Time // it is not tried before
+}
+
+// Chooser chooses the source of one instance.
+type Chooser struct {
+	self       placing.Instance
+	candidates []string // addresses of the instances that may be its source, first choice first
+	attempts   map[string]*attempt
+	lostAt     clock.Time // since when the instance has had no source
+}
+
+// New returns the Chooser of the instance self, which knows no other instance.
+func New(self placing.Instance) *Chooser {
+	return &Chooser{self: self, attempts: map[string]*attempt{}}
+}
+
+// Start begins the search for the first source at now, when the instances are known.
+// Others begin theirs at about the same time.
+func (c *Chooser) Start(now clock.Time) { c.lostAt = now.Add(startTime) }
+
+// SetInstances replaces the known instances.
+func (c *Chooser) SetInstances(instances []placing.Instance) {
+	c.candidates = candidates(c.self, instances)
+	for address := range c.attempts {
+		if !slices.Contains(c.candidates, address) {
+			delete(c.attempts, address)
+		}
+	}
+}
+
+// IsReader reports whether the instance is one of the readers of its zone, which read
+// all copies from the store when they start, since the others take theirs from them.
+func (c *Chooser) IsReader() bool { return len(c.candidates) < readers }
+
+// Next returns the next step of an instance that has no source at now. complete
+// reports whether the instance has copies of all kinds.
+func (c *Chooser) Next(complete bool, now clock.Time) Step {
+	if len(c.candidates) == 0 {
+		return Step{Action: Watch}
+	}
+	waited := now.Sub(c.lostAt)
+	address, reached := c.candidate(now)
+	if reached >= readers {
+		switch {
+		case address != "":
+			return Step{Action: Follow, Address: address}
+		case complete || waited < maxLoadTime:
+			return Step{Action: Wait, Wait: pollPeriod}
+		default:
+			return Step{Action: Watch}
+		}
+	}
+	if address != "" && waited < maxSearchTime {
+		return Step{Action: Follow, Address: address}
+	}
+	if waited < readerWait*clock.Duration(min(len(c.candidates), readers)-1) {
+		return Step{Action: Wait, Wait: pollPeriod}
+	}
+	return Step{Action: Watch}
+}
+
+// Candidate returns the address of a candidate to try at now, for an instance that
+// watches the store but would rather follow one. It returns "" if there is none.
+func (c *Chooser) Candidate(now clock.Time) string {
+	address, _ := c.candidate(now)
+	return address
+}
+
+// candidate returns the first candidate that may be tried at now, or "", and how many
+// candidates could be reached when they were tried last but were not up to date. It
+// looks no further than the first readers of these, which read the store.
+func (c *Chooser) candidate(now clock.Time) (address string, reached int) {
+	for _, candidate := range c.candidates {
+		a := c.attempts[candidate]
+		if address == "" && (a == nil || !now.Before(a.retryAt)) {
+			address = candidate
+		}
+		if a != nil && a.outcome == Stale {
+			reached++
+		}
+		if reached == readers {
+			break
+		}
+	}
+	return address, reached
+}
+
+// Ended reports that following the candidate at address ended at now.
+func (c *Chooser) Ended(address string, o Outcome, now clock.Time) {
+	a := c.attempts[address]
+	if a == nil || a.outcome != o {
+		a = &attempt{outcome: o}
+		c.attempts[address] = a
+	}
+	delay, most := staleRetryDelay, maxStaleRetryDelay
+	if o == Unreachable {
+		delay, most = unreachableRetryDelay, maxUnreachableRetryDelay
+	}
+	if o == Lost {
+		c.lostAt, a.failures = now, 0
+	}
+	a.retryAt = now.Add(min(delay<<min(a.failures, 8), most))
+	a.failures++
+}
+
+// StoreAvailable reports that the store answers again after it did not. The readers
+// begin to watch it one after the other, so that the later ones can follow the first:
+// the instance waits for the returned time and then tries its candidates again.
+func (c *Chooser) StoreAvailable() clock.Duration {
+	clear(c.attempts)
+	return readerWait * clock.Duration(min(len(c.candidates), readers))
+}
+
+// WatchEnded reports that the instance has stopped watching the store at now.
+func (c *Chooser) WatchEnded(now clock.Time) { c.lostAt = now }
--- /dev/null
+++ b/core/source/order.go
@@ -0,0 +1,70 @@
+package source
+
+import (
+	"cmp"
+	"slices"
+
+	"knapweedstall/core/placing"
+	"knapweedstall/core/topology"
+)
+
+// Compare orders instances by decreasing capacity, since sources have more work, and
+// then by the hash of their ids. Each instance computes the same order.
+func Compare(a, b placing.Instance) int {
+	return cmp.Or(
+		cmp.Compare(b.Capacity, a.Capacity),
+		cmp.Compare(topology.Hash64(string(a.ID)), topology.Hash64(string(b.ID))),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// Neighbour returns the address of the first instance of another zone: the zone that
+// is i+1 places after zone in the order of the zones' names. It returns "" if there is
+// no such zone. instances must be in the order of Compare.
+func Neighbour(instances []placing.Instance, zone topology.ZoneID, i int) string {
+	var firsts []placing.Instance // first instance of each zone
+	for _, in := range instances {
+		if !slices.ContainsFunc(firsts, func(f placing.Instance) bool { return f.Zone == in.Zone }) {
+			firsts = append(firsts, in)
+		}
+	}
+	slices.SortFunc(firsts, func(a, b placing.Instance) int { return cmp.Compare(a.Zone, b.Zone) })
+	at := slices.IndexFunc(firsts, func(f placing.Instance) bool { return f.Zone == zone })
+	if at < 0 || i+1 >= len(firsts) {
+		return ""
+	}
+	return firsts[(at+i+1)%len(firsts)].Address
+}
+
+// candidates returns the addresses of the instances of self's zone that precede self
+// in the order of Compare, in the order in which self tries them. In a large zone, the
+// instances after the first readers each begin with another one of the readers, so
+// that the first instance does not send all copies after a restart of the zone.
+func candidates(self placing.Instance, instances []placing.Instance) []string {
+	var preceding []placing.Instance
+	size := 0
+	for _, in := range instances {
+		if in.Zone != self.Zone {
+			continue
+		}
+		size++
+		if in.ID != self.ID && Compare(in, self) < 0 {
+			preceding = append(preceding, in)
+		}
+	}
+	slices.SortFunc(preceding, Compare)
+	addresses := make([]string, 0, len(preceding))
+	for _, in := range preceding {
+		addresses = append(addresses, in.Address)
+	}
+	if size >= largeZone && len(addresses) >= readers {
+		rotate(addresses[:readers], len(addresses)%readers)
+	}
+	return addresses
+}
+
+// rotate moves the first n addresses behind the others.
+func rotate(addresses []string, n int) {
+	rotated := slices.Concat(addresses[n:], addresses[:n])
+	copy(addresses, rotated)
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -91,7 +91,13 @@
 			wait = min(max(at.Sub(now), retryMin), retryMax)
 		}
 	}
-	return wait + clock.Duration(q.g.random.Int64N(int64(wait)/2+1)) // spreads the callers' retries
+	return q.g.spread(wait)
+}
+
+// spread returns a random duration from wait to one and a half of it, so that callers
+// that were refused together don't come back together. mu must be held.
+func (g *Gateway) spread(wait clock.Duration) clock.Duration {
+	return wait + clock.Duration(g.random.Int64N(int64(wait)/2+1))
 }
 
 // forwardAnswer writes a target's answer to the caller unchanged.
@@ -116,9 +122,13 @@
 	_, _ = w.Write(body) // fails only when the caller has disconnected
 }
 
-// refuse answers a request that was not sent to any target.
+// refuse answers a request that was not sent to any target, and when to retry: after
+// wait or a little later.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, reason string, wait clock.Duration) {
 	g.recordRefusal(r, reason)
+	g.mu.Lock()
+	wait = g.spread(wait)
+	g.mu.Unlock()
 	platform.SetRetryAfter(w.Header(), wait)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"knapweedstall/core/clock"
@@ -20,8 +21,14 @@
 	valid    bool
 }
 
-// apply applies a newer copy of a kind of objects.
+// apply applies a newer copy of a kind of objects. All instances get the same objects,
+// so a panic must not end the process: what was in force before stays.
 func (g *Gateway) apply(kind string, k view.Copy) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.log.Error("applying a copy of the store's objects failed", "kind", kind, "revision", k.Revision, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
 	switch kind {
 	case platform.KindConfig:
 		g.applyConfig(k)
@@ -31,6 +38,8 @@
 		g.applyEvacuations(k)
 	case platform.KindCrashes:
 		g.applyCrashes(k)
+	case platform.KindInstances:
+		g.applyInstances(k)
 	}
 }
 
@@ -47,17 +56,29 @@
 		return
 	}
 	c.Limits = c.Limits.WithDefaults()
+	before, newer := g.activate(c)
+	if !newer {
+		return
+	}
+	g.callers.SetLimits(c.Limits)
+	g.log.Info("configuration in force", "version", c.Version, "before", before, "revision", o.Revision, "routes", len(c.Routes))
+}
+
+// activate puts a configuration in force if its version is higher than the active one,
+// which it returns.
+func (g *Gateway) activate(c *routing.Config) (before routing.Version, newer bool) {
+	table := routing.NewTable(c)
 	g.mu.Lock()
-	before := routing.Version(0)
+	defer g.mu.Unlock()
 	if g.table != nil {
 		before = g.table.Config.Version
 	}
 	if c.Version <= before {
-		g.mu.Unlock()
-		return
+		return before, false
 	}
-	g.table = routing.NewTable(c)
-	g.budget.SetShards(g.table.IsShard)
+	g.table = table
+	g.budget.SetShards(table.IsShard)
+	g.targets.SetShards(table.IsShard)
 	clear(g.zoneCoverage)
 	configured := map[routing.RouteName]bool{}
 	for i := range c.Routes {
@@ -68,14 +89,21 @@
 			delete(g.estimates, name)
 		}
 	}
-	g.mu.Unlock()
-	g.callers.SetLimits(c.Limits)
-	g.log.Info("configuration in force", "version", c.Version, "before", before, "revision", o.Revision, "routes", len(c.Routes))
+	return before, true
 }
 
 // applyTargets updates the targets from their entries. Invalid entries are ignored.
 func (g *Gateway) applyTargets(k view.Copy) {
+	listings, removed := g.updateTargets(k)
+	g.pool.CloseIdle(removed)
+	g.log.Debug("targets updated", "revision", k.Revision, "targets", listings)
+}
+
+// updateTargets updates the targets and returns the number of valid entries, and the
+// targets that were removed.
+func (g *Gateway) updateTargets(k view.Copy) (valid int, removed []topology.TargetID) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	listings := make([]replica.Listing, 0, len(k.Objects))
 	for name, o := range k.Objects {
 		p, ok := g.listings[name]
@@ -92,11 +120,8 @@
 			delete(g.listings, name)
 		}
 	}
-	removed := g.targets.Update(listings, g.clock.Now())
 	clear(g.zoneCoverage)
-	g.mu.Unlock()
-	g.pool.CloseIdle(removed)
-	g.log.Debug("targets updated", "revision", k.Revision, "targets", len(listings))
+	return len(listings), g.targets.Update(listings, g.clock.Now())
 }
 
 func (g *Gateway) parseListing(name string, o view.Object) parsedListing {
@@ -112,14 +137,19 @@
 	for name := range k.Objects {
 		zones[topology.ZoneID(name)] = true
 	}
-	g.mu.Lock()
-	changed := g.targets.SetEvacuated(zones)
-	g.mu.Unlock()
-	if changed {
+	if g.setEvacuated(zones) {
 		g.log.Info("evacuated zones changed", "revision", k.Revision, "zones", len(zones))
 	}
 }
 
+// setEvacuated sets the zones whose targets get no requests, and reports whether they
+// changed.
+func (g *Gateway) setEvacuated(zones map[topology.ZoneID]bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets.SetEvacuated(zones)
+}
+
 // jitter returns a random duration from half to one and a half of d, so that
 // instances don't make calls at the same time.
 func (g *Gateway) jitter(d clock.Duration) clock.Duration {
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -26,9 +26,7 @@
 // caller sooner. It returns false when this instance must run the search.
 func (q *request) delegate(w http.ResponseWriter, r *http.Request, table *routing.Table) bool {
 	g := q.g
-	g.mu.Lock()
-	runner := g.placing.Place(len(q.services), g.zoneCoverageOf(q.route), g.clock.Now())
-	g.mu.Unlock()
+	runner := q.place()
 	if runner == nil {
 		return false
 	}
@@ -42,10 +40,8 @@
 		}
 	}()
 	answer, err := g.delegates.Do(ctx, runner.Address, q.delegateMessage(table), q.livenessTimeout())
-	g.mu.Lock()
 	callerGone := r.Context().Err() != nil
-	g.placing.Done(runner, err != nil && ctx.Err() == nil, g.clock.Now())
-	g.mu.Unlock()
+	q.endDelegation(runner, err != nil && ctx.Err() == nil)
 	var notSent *delegate.NotSentError
 	interrupted := fanout.State(answer.State) == fanout.TimedOut && q.params.Deadline.Sub(g.clock.Now()) > minRerunTime
 	switch {
@@ -67,6 +63,23 @@
 	return false
 }
 
+// place returns the instance that should run the search, or nil for this one.
+func (q *request) place() *placing.Runner {
+	g := q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placing.Place(len(q.services), g.zoneCoverageOf(q.route), g.clock.Now())
+}
+
+// endDelegation ends a search that place has given to the runner. failed means that the
+// runner did not answer it.
+func (q *request) endDelegation(runner *placing.Runner, failed bool) {
+	g := q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placing.Done(runner, failed, g.clock.Now())
+}
+
 // livenessTimeout returns how long the other instance may take to answer until the
 // connection to it must be checked.
 func (q *request) livenessTimeout() clock.Duration {
@@ -124,8 +137,15 @@
 	}
 }
 
-// runSearch runs a search for another instance until ctx is done.
-func (g *Gateway) runSearch(ctx context.Context, s delegate.Search) delegate.Answer {
+// runSearch runs a search for another instance until ctx is done. A panic fails only
+// this search.
+func (g *Gateway) runSearch(ctx context.Context, s delegate.Search) (answer delegate.Answer) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.logPanic(s.RequestID, cause)
+			answer = delegate.Answer{State: string(fanout.Failure), Missing: 1}
+		}
+	}()
 	g.mu.Lock()
 	table := g.table
 	g.mu.Unlock()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -37,20 +37,18 @@
 	firstWatchTimeout = 500 * clock.Millisecond
 )
 
-// watchKinds keeps all copies up to date from the store until ctx is done. It
-// restarts all watches when the store stops answering probes, since a watch on a
-// dead connection would wait for nothing.
+// watchKinds keeps all copies up to date from the store until the store stops
+// answering probes or ctx is done. It ends all watches then, since a watch on a dead
+// connection would wait for nothing.
 func (g *Gateway) watchKinds(ctx context.Context) {
-	for ctx.Err() == nil {
-		attempt, stop := context.WithCancel(ctx)
-		var wait sync.WaitGroup
-		for _, kind := range copiedKinds {
-			wait.Go(func() { g.watchKind(attempt, kind) })
-		}
-		g.probeStore(attempt)
-		stop()
-		wait.Wait()
+	ctx, stop := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	for _, kind := range copiedKinds {
+		wait.Go(func() { g.watchKind(ctx, kind) })
 	}
+	g.probeStore(ctx)
+	stop()
+	wait.Wait()
 }
 
 // probeStore makes a small call to the store at each probePeriod. It returns when
@@ -108,7 +106,7 @@
 			}
 			g.views.setWatched(kind, !list || !stale)
 			if !list {
-				wait = g.watchWait()
+				wait = g.watchWait(kind)
 			}
 			list, pause, failedAt = false, minRetryDelay, 0
 			if changed {
@@ -166,10 +164,18 @@
 	return len(events) > 0, nil
 }
 
-// watchWait returns how long a watch waits for changes. It bounds how long a change
-// is missed if the store drops a watch without closing it: the newest configuration
-// is due within CatchUpMS after an outage.
-func (g *Gateway) watchWait() clock.Duration {
+// instancesWatchWait is how long a watch waits for changes of the instances. If the
+// store drops it without closing it, shares and sources are out of date for so long,
+// which costs little.
+const instancesWatchWait = 12 * clock.Second
+
+// watchWait returns how long a watch waits for changes of a kind. It bounds how long a
+// change is missed if the store drops a watch without closing it: the newest
+// configuration is due within CatchUpMS after an outage.
+func (g *Gateway) watchWait(kind string) clock.Duration {
+	if kind == platform.KindInstances {
+		return instancesWatchWait
+	}
 	const margin = clock.Second // time for listing the kind again
 	return max(g.settings.Store.CatchUpMS-margin, clock.Second)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"knapweedstall/core/poison"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
+	"knapweedstall/core/source"
 	"knapweedstall/core/topology"
 	"knapweedstall/io/delegate"
 	"knapweedstall/io/ingress"
@@ -37,14 +38,17 @@
 
 // Gateway is one instance of the tier.
 type Gateway struct {
-	settings settings.Gateway
-	clock    clock.Clock
-	log      *log.Logger
-	store    *platform.Store
-	pool     *upstream.Pool
-	callers  *ingress.Server
-	stopping atomic.Bool
-	draining chan struct{} // closed when requests in progress must end
+	settings     settings.Gateway
+	self         placing.Instance // this instance as it registers itself
+	clock        clock.Clock
+	created      clock.Time // when the Gateway was created
+	log          *log.Logger
+	store        *platform.Store
+	pool         *upstream.Pool
+	callers      *ingress.Server
+	stopping     atomic.Bool
+	draining     chan struct{} // closed when requests in progress must end
+	peersChanged chan struct{} // signals that peers has changed; holds one signal
 
 	// mu guards the fields below up to listings.
 	mu            sync.Mutex
@@ -56,11 +60,13 @@
 	crashes       *poison.Tracker
 	openCount     int                // requests in progress
 	completeCount int                // requests with a complete answer, for sampling log lines
-	peers         []placing.Instance // all registered instances, this one included, in the order of comparePeers
-	seeds         []string           // peer addresses from the settings
+	peers         []placing.Instance // all registered instances, this one included, in the order of source.Compare
+	chooser       *source.Chooser
+	seeds         []string // peer addresses from the settings
 	placing       *placing.Set
 	zoneCoverage  map[routing.RouteName]map[topology.ZoneID]float64 // share of a route's shards with a target in the zone, computed when needed
 	listings      map[string]parsedListing                          // parsed entries of targets, by name
+	entries       map[string]parsedInstance                         // parsed entries of instances, by name
 
 	metrics      *counters
 	droppedLines func() int64 // number of log lines that were dropped
@@ -81,10 +87,11 @@
 // New returns a Gateway with the settings. Serve runs it.
 func New(s settings.Gateway, c clock.Clock, logger *log.Logger, opts ...Option) *Gateway {
 	g := &Gateway{
-		settings: s, clock: c, log: logger,
+		settings: s, clock: c, created: c.Now(), log: logger,
 		store:        platform.NewStore(s.Store.Address),
 		pool:         upstream.NewPool(c),
 		draining:     make(chan struct{}),
+		peersChanged: make(chan struct{}, 1),
 		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		crashes:      poison.NewTracker(),
 		zoneCoverage: map[routing.RouteName]map[topology.ZoneID]float64{},
@@ -94,11 +101,13 @@
 		seeds:        s.Peers,
 		estimates:    map[routing.RouteName]*fanout.LatencyEstimate{},
 		listings:     map[string]parsedListing{},
+		entries:      map[string]parsedInstance{},
 	}
 	g.views = newViews(c, g.apply)
 	g.delegated = delegate.NewServer(g.runSearch)
-	self := placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity}
-	g.placing = placing.NewSet(self, g.random)
+	g.self = placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity}
+	g.chooser = source.New(g.self)
+	g.placing = placing.NewSet(g.self, g.random)
 	for _, o := range opts {
 		o(g)
 	}
@@ -113,7 +122,7 @@
 
 // Serve runs the instance until ctx is done and then shuts it down gracefully.
 func (g *Gateway) Serve(ctx context.Context) error {
-	callers, err := ingress.Listen(g.settings.Listen.Callers, http.HandlerFunc(g.serveCaller))
+	callers, err := ingress.Listen(g.settings.Listen.Callers, http.HandlerFunc(g.serveRecovered))
 	if err != nil {
 		return err
 	}
@@ -136,7 +145,6 @@
 	defer stop()
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.Listen.Callers)
 	go g.syncCopies(background)
-	go g.pollInstances(background)
 	go g.sweep(background)
 	go func() {
 		if err := callers.Serve(); err != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,11 +14,14 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/go-cmp/cmp"
 
+	"knapweedstall/core/clock"
+	"knapweedstall/core/placing"
 	"knapweedstall/core/poison"
 	"knapweedstall/core/topology"
 	"knapweedstall/gateway"
 	"knapweedstall/io/osclock"
 	"knapweedstall/io/porttest"
+	"knapweedstall/io/relay"
 	"knapweedstall/platform"
 	"knapweedstall/platform/platformtest"
 	"knapweedstall/settings"
@@ -85,6 +89,13 @@
 
 // start starts an instance and waits until it is ready.
 func (env *testEnv) start(change func(*settings.Gateway)) *instance {
+	in := env.launch(env.newSettings(change))
+	env.eventually("the instance is ready", func() bool { return in.ready() })
+	return in
+}
+
+// newSettings returns the settings of a new instance.
+func (env *testEnv) newSettings(change func(*settings.Gateway)) settings.Gateway {
 	env.instances++
 	s := settings.Gateway{
 		Instance: topology.InstanceID(fmt.Sprintf("instance-%d", env.instances)), Zone: "z1", Capacity: 1,
@@ -98,12 +109,16 @@
 	if change != nil {
 		change(&s)
 	}
+	return s
+}
+
+// launch starts an instance with the settings.
+func (env *testEnv) launch(s settings.Gateway) *instance {
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{settings: s, stop: stop, served: make(chan error, 1)}
 	g := gateway.New(s, osclock.New(), env.logger.With("instance", string(s.Instance)))
 	go func() { in.served <- g.Serve(ctx) }()
 	env.t.Cleanup(stop)
-	env.eventually("the instance is ready", func() bool { return in.ready() })
 	return in
 }
 
@@ -399,3 +414,109 @@
 		}
 	}
 }
+
+// TestRestartOfAllReadsStorePerZone guards against a stampede on the store when all
+// instances start at once, as after a loss of power: in each zone, three instances read
+// all objects, and the others take them from these. Instances that are still registered
+// write nothing.
+func TestRestartOfAllReadsStorePerZone(t *testing.T) {
+	const zones, perZone = 2, 8
+	env := newTestEnv(t)
+	var all []settings.Gateway
+	for i := range zones * perZone {
+		s := env.newSettings(func(s *settings.Gateway) {
+			s.Zone = topology.ZoneID(fmt.Sprintf("z%d", 1+i%zones))
+			s.Capacity = 1 / float64(1+i/zones)
+		})
+		name, spec := platform.InstanceObject(placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity})
+		env.store.Put(platform.KindInstances, name, spec)
+		all = append(all, s)
+	}
+	var instances []*instance
+	for _, s := range all {
+		instances = append(instances, env.launch(s))
+	}
+	for _, in := range instances {
+		env.eventually("the instance is ready", func() bool { return in.ready() })
+	}
+	time.Sleep(300 * time.Millisecond)
+	if got, limit := env.store.Lists(platform.KindTargets), 3*zones; got > limit {
+		t.Errorf("the targets were listed %d times, want at most %d", got, limit)
+	}
+	if got, limit := env.store.Lists(platform.KindInstances), zones*perZone+3*zones; got > limit {
+		t.Errorf("the instances were listed %d times, want at most %d", got, limit)
+	}
+	if got := env.store.Writes(platform.KindInstances); got > 0 {
+		t.Errorf("%d writes of instances that are registered", got)
+	}
+}
+
+// TestOutagePollsOfReaders guards against an outage of the store in which all instances
+// poll it: only the first three of a zone may.
+func TestOutagePollsOfReaders(t *testing.T) {
+	const instances = 10
+	env := newTestEnv(t)
+	first := env.start(nil)
+	for i := range instances - 1 {
+		env.start(func(s *settings.Gateway) { s.Capacity = 1 / float64(2+i) })
+	}
+	time.Sleep(2 * time.Second) // until the instances know each other
+	env.store.SetUnavailable(true)
+	time.Sleep(2 * time.Second) // until the followers have lost their source
+	before := env.store.Calls()
+	time.Sleep(4 * time.Second)
+	// Three instances call once in 0.4 s at the most, and twice for each poll.
+	if got, limit := env.store.Calls()-before, 3*2*10; got > limit {
+		t.Errorf("%d calls in 4 s, want at most %d", got, limit)
+	}
+	env.configure(2, false)
+	env.store.SetUnavailable(false)
+	env.eventually("the route is gone", func() bool { return first.do(t, "GET", "/plain/1", "").Status == http.StatusNotFound })
+}
+
+// TestRemovedRegistrationIsWritten guards against an instance that stays unknown after
+// an earlier process of it has removed its entry late.
+func TestRemovedRegistrationIsWritten(t *testing.T) {
+	env := newTestEnv(t)
+	in := env.start(nil)
+	name := "z1." + string(in.settings.Instance)
+	env.eventually("the instance is registered", func() bool { return len(env.store.Names(platform.KindInstances)) == 1 })
+	env.store.Delete(platform.KindInstances, name)
+	env.eventually("the instance is registered again", func() bool { return len(env.store.Names(platform.KindInstances)) == 1 })
+}
+
+// TestInstanceWithoutCopiesIsNotUpToDate guards against followers that wait for an
+// instance that has just started and has no copies itself, and against callers that it
+// tells to come back so soon that they use up their retries while the store is away.
+func TestInstanceWithoutCopiesIsNotUpToDate(t *testing.T) {
+	env := newTestEnv(t)
+	env.store.SetUnavailable(true)
+	in := env.launch(env.newSettings(nil))
+	var age clock.Duration
+	env.eventually("the instance sends a frame", func() bool {
+		err := relay.Follow(t.Context(), in.settings.Listen.Peers, nil, clock.Second, func(f relay.Frame) bool {
+			age = f.Age
+			return false
+		})
+		return err == nil
+	})
+	var waits []float64
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		resp, err := http.Get("http://" + in.settings.Listen.Callers + "/plain/1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if resp.StatusCode != http.StatusServiceUnavailable || err != nil {
+			t.Fatalf("status %d, Retry-After %v without a configuration", resp.StatusCode, err)
+		}
+		waits = append(waits, wait)
+	}
+	if first, last := waits[0], waits[len(waits)-1]; first > 0.5 || last < 0.9 {
+		t.Errorf("callers are told to come back after %v s at the start and %v s while the store is away", first, last)
+	}
+	if age < clock.Minute {
+		t.Errorf("an instance without copies states that it may have missed the changes of %d ms only", age)
+	}
+}
--- a/gateway/instances.go
+++ b/gateway/instances.go
@@ -7,52 +7,108 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/placing"
+	"knapweedstall/core/source"
 	"knapweedstall/core/topology"
 	"knapweedstall/core/view"
 	"knapweedstall/platform"
 )
 
-// Timing of listing the instances.
+// Timing of joining the other instances.
 const (
-	instancesPeriod  = 15 * clock.Second // time between two lists
-	registrationTime = clock.Second      // all instances of a new deployment register within this time
+	// registrationTime is the time within which all instances of a new deployment
+	// register.
+	registrationTime = 1500 * clock.Millisecond
+	// startRetryDelay is the delay after the first failed call of an instance that is
+	// starting.
+	startRetryDelay = 100 * clock.Millisecond
+	// rewriteDelay is the time after which the instance's object must be in the copies
+	// of the instances. If it is not, it is written again.
+	rewriteDelay = 5 * clock.Second
 )
 
-// joinInstances registers the instance and lists the other ones. It lists them at
-// once, for an instance that restarts while others run, and again when all instances
-// of a new deployment have registered.
-func (g *Gateway) joinInstances(ctx context.Context) {
-	g.readInstances(ctx, true)
-	go g.register(ctx)
-	sleep(ctx, registrationTime)
-	g.readInstances(ctx, false)
+// join learns the instances of the zone, from which the instance then chooses its
+// source, and keeps the instance registered until ctx is done. In a new deployment, it
+// waits until the other instances have registered too.
+func (g *Gateway) join(ctx context.Context) {
+	zone := g.listZone(ctx)
+	go g.keepRegistered(ctx, slices.Contains(zone, g.self))
+	if g.settings.NewDeployment {
+		sleep(ctx, registrationTime)
+		g.listZone(ctx)
+	}
+	g.mu.Lock()
+	reader := g.chooser.IsReader()
+	g.mu.Unlock()
+	if reader {
+		g.loadCopies(ctx)
+	}
 }
 
-// pollInstances lists the instances at about each instancesPeriod until ctx is
-// done.
-func (g *Gateway) pollInstances(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, g.jitter(instancesPeriod))
-		g.readInstances(ctx, true)
+// listZone reads the instances of the zone from the store, of which it reads no more,
+// since all instances of a deployment may start at once. While the store does not
+// answer, it retries, and gets the copies of any other instance.
+func (g *Gateway) listZone(ctx context.Context) (zone []placing.Instance) {
+	syncing, stop := context.WithCancel(ctx)
+	defer stop()
+	for pause := startRetryDelay; ctx.Err() == nil; pause = min(2*pause, maxRetryDelay) {
+		objects, err := g.store.ListPrefix(ctx, platform.KindInstances, platform.InstancePrefix(g.settings.Zone), callTimeout)
+		if err == nil {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			zone = g.parseInstances(objects)
+			g.chooser.SetInstances(zone)
+			return zone
+		}
+		g.log.Debug("listing the instances of the zone failed", "err", err)
+		if pause == startRetryDelay {
+			// An instance without power lets a connection wait, so the retries don't wait
+			// for other instances.
+			go g.syncUntilComplete(syncing)
+		}
+		if g.views.copyOf(platform.KindInstances).Revision != 0 {
+			break
+		}
+		sleep(ctx, g.jitter(pause))
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.peers)
 }
 
-// readInstances lists the instances once and applies the list.
-func (g *Gateway) readInstances(ctx context.Context, stale bool) {
-	k, err := g.store.List(ctx, platform.KindInstances, stale, callTimeout)
-	if err != nil {
-		g.log.Debug("listing instances failed", "err", err)
-		return
+// syncUntilComplete gets copies from random other instances until there are copies of
+// all kinds or ctx is done.
+func (g *Gateway) syncUntilComplete(ctx context.Context) {
+	for ctx.Err() == nil && !g.views.complete() {
+		g.syncFromPeer(ctx)
+		sleep(ctx, g.jitter(minRetryDelay))
+	}
+}
+
+// keepRegistered writes the instance's object to the store when it is missing there,
+// until ctx is done. registered tells whether it is there now. It may disappear later,
+// when an earlier process of the instance removes it late.
+func (g *Gateway) keepRegistered(ctx context.Context, registered bool) {
+	for ctx.Err() == nil && !g.stopping.Load() {
+		if !registered {
+			g.register(ctx)
+			sleep(ctx, rewriteDelay)
+		}
+		select {
+		case <-ctx.Done():
+		case <-g.peersChanged:
+		}
+		g.mu.Lock()
+		registered = slices.ContainsFunc(g.peers, func(in placing.Instance) bool { return in.ID == g.settings.Instance })
+		g.mu.Unlock()
 	}
-	g.applyInstances(k)
 }
 
 // register writes the instance's object to the store, and retries until that
-// succeeds or ctx is done.
+// succeeds, the instance stops or ctx is done.
 func (g *Gateway) register(ctx context.Context) {
-	spec := platform.Instance{Address: g.settings.Listen.Peers, Zone: string(g.settings.Zone), Capacity: g.settings.Capacity}
-	for pause := minRetryDelay; ctx.Err() == nil; pause = min(2*pause, 4*maxRetryDelay) {
-		err := g.store.Put(ctx, platform.KindInstances, string(g.settings.Instance), spec)
+	name, spec := platform.InstanceObject(g.self)
+	for pause := minRetryDelay; ctx.Err() == nil && !g.stopping.Load(); pause = min(2*pause, 4*maxRetryDelay) {
+		err := g.store.Put(ctx, platform.KindInstances, name, spec)
 		if err == nil {
 			return
 		}
@@ -66,32 +122,58 @@
 func (g *Gateway) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := g.store.Delete(ctx, platform.KindInstances, string(g.settings.Instance)); err != nil {
+	name, _ := platform.InstanceObject(g.self)
+	if err := g.store.Delete(ctx, platform.KindInstances, name); err != nil {
 		g.log.Debug("deregistering the instance failed", "err", err)
 	}
 }
 
-// applyInstances applies the list of instances: it updates the instances that may
-// run searches, and this instance's shares of the budget and of the targets.
-func (g *Gateway) applyInstances(k view.Copy) {
-	var peers []placing.Instance
-	for name, o := range k.Objects {
-		in, err := platform.ParseInstance(name, o.Spec)
-		if err != nil {
-			g.log.Warn("invalid instance entry ignored", "name", name, "err", err)
-			continue
+// parsedInstance caches the instance parsed from an entry of the store.
+type parsedInstance struct {
+	revision view.Revision
+	instance placing.Instance
+	valid    bool
+}
+
+// parseInstances parses the instances' entries that have changed, and returns the valid
+// ones in the order of source.Compare. mu must be held.
+func (g *Gateway) parseInstances(objects map[string]view.Object) []placing.Instance {
+	var instances []placing.Instance
+	for name, o := range objects {
+		p, ok := g.entries[name]
+		if !ok || p.revision != o.Revision {
+			in, err := platform.ParseInstance(name, o.Spec)
+			if err != nil {
+				g.log.Warn("invalid instance entry ignored", "name", name, "err", err)
+			}
+			p = parsedInstance{revision: o.Revision, instance: in, valid: err == nil}
+			g.entries[name] = p
+		}
+		if p.valid {
+			instances = append(instances, p.instance)
 		}
-		peers = append(peers, placing.Instance{
-			ID: topology.InstanceID(name), Zone: topology.ZoneID(in.Zone), Address: in.Address, Capacity: in.Capacity,
-		})
 	}
-	slices.SortFunc(peers, comparePeers)
+	slices.SortFunc(instances, source.Compare)
+	return instances
+}
+
+// applyInstances applies the list of instances: it updates the instances that may be
+// the source of this one or run searches, and this instance's shares of the budget and
+// of the targets.
+func (g *Gateway) applyInstances(k view.Copy) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	peers := g.parseInstances(k.Objects)
+	for name := range g.entries {
+		if _, ok := k.Objects[name]; !ok {
+			delete(g.entries, name)
+		}
+	}
 	if len(peers) != len(g.peers) {
 		g.log.Info("number of instances changed", "instances", len(peers), "before", len(g.peers), "revision", k.Revision)
 	}
 	g.peers = peers
+	g.chooser.SetInstances(peers)
 	instances := runners(peers)
 	g.placing.Update(instances)
 	// An instance that is not listed yet has no share, since the others don't know
@@ -101,7 +183,11 @@
 		others = 1 / float64(len(peers))
 	}
 	g.budget.SetSlackShares(shards, others, g.clock.Now())
-	g.targets.SetInstances(len(peers), g.maySendCold)
+	g.targets.SetInstances(len(peers), shards, g.maySendCold)
+	select {
+	case g.peersChanged <- struct{}{}:
+	default: // keepRegistered has not handled the previous change yet
+	}
 }
 
 // maySendCold reports whether this instance is among the n that may send to a cold
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,7 @@
 	sourcesLost       tally.Counter // losses of the store or of a followed instance of this zone
 	connectionsOpened tally.Counter
 	linesDropped      tally.Counter
+	panics            tally.Counter // requests that a panic failed
 	configVersion     tally.Gauge
 	viewAge           tally.Gauge
 
@@ -52,6 +53,7 @@
 		sourcesLost:       scope.Counter("sources_lost"),
 		connectionsOpened: scope.Counter("target_connections_opened"),
 		linesDropped:      scope.Counter("log_lines_dropped"),
+		panics:            scope.Counter("panics"),
 		configVersion:     scope.Gauge("config_version"),
 		viewAge:           scope.Gauge("view_age_ms"),
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,12 +45,25 @@
 
 // Retry-After times of refused requests.
 const (
-	retryNotReady = 300 * clock.Millisecond // the instance is starting
+	retryStarting = 300 * clock.Millisecond // the instance is starting, and the store answers
 	retryOverload = 200 * clock.Millisecond
 	retryMin      = 20 * clock.Millisecond
 	retryMax      = clock.Second
 )
 
+// startTime is the time within which an instance has its copies if the store answers.
+const startTime = 500 * clock.Millisecond
+
+// retryNotReady returns when a caller should come back to an instance without a
+// configuration. After startTime, the store is away, and since a caller comes back only
+// a few times, it should not do so too soon.
+func (g *Gateway) retryNotReady(now clock.Time) clock.Duration {
+	if now.Sub(g.created) < startTime {
+		return retryStarting
+	}
+	return retryMax
+}
+
 // request is a request in progress, of a caller or of another instance that has
 // delegated a search.
 type request struct {
@@ -86,7 +99,7 @@
 	table, open := g.table, g.openCount
 	g.mu.Unlock()
 	if table == nil {
-		g.refuse(w, r, "no configuration", retryNotReady)
+		g.refuse(w, r, "no configuration", g.retryNotReady(arrived))
 		return
 	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
@@ -241,6 +254,7 @@
 // send sends the request to a target and reports the outcome to the call.
 func (q *request) send(s fanout.Send, id topology.TargetID, address string) {
 	g := q.g
+	defer q.failOnPanic()
 	remaining := q.params.Deadline.Sub(g.clock.Now())
 	res := g.pool.Send(q.ctx, &q.out, id, address, remaining)
 	g.metrics.send(res.Outcome)
@@ -290,15 +304,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		g.mu.Lock()
-		now := g.clock.Now()
-		if q.state == fanout.Open {
-			q.launch(q.call.Tick(now))
-			q.state = q.call.State(now)
-			q.next = q.call.Next()
-		}
-		state, next := q.state, q.next
-		g.mu.Unlock()
+		state, next, now := q.tick()
 		if state != fanout.Open {
 			return
 		}
@@ -316,6 +322,21 @@
 	}
 }
 
+// tick makes the sends that are due and returns the state, when the next step is due,
+// and the time.
+func (q *request) tick() (state fanout.State, next, now clock.Time) {
+	g := q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now = g.clock.Now()
+	if q.state == fanout.Open {
+		q.launch(q.call.Tick(now))
+		q.state = q.call.State(now)
+		q.next = q.call.Next()
+	}
+	return q.state, q.next, now
+}
+
 // abandon ends the request and cancels its sends because the caller has
 // disconnected.
 func (q *request) abandon() {
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -10,7 +10,9 @@
 )
 
 // copiedKinds are the kinds of objects of which each instance keeps a copy.
-var copiedKinds = []string{platform.KindConfig, platform.KindTargets, platform.KindEvacuations, platform.KindCrashes}
+var copiedKinds = []string{
+	platform.KindConfig, platform.KindTargets, platform.KindEvacuations, platform.KindCrashes, platform.KindInstances,
+}
 
 // views holds the instance's copies of the store's objects, one for each kind. It
 // implements relay.Source.
@@ -93,6 +95,13 @@
 	v.notify()
 }
 
+// wakeFollowers wakes the followers so that they learn the age of the copies at once.
+func (v *views) wakeFollowers() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.notify()
+}
+
 // notify wakes the connections to followers, which check for changes then. mu must
 // be held.
 func (v *views) notify() {
@@ -115,6 +124,9 @@
 	}
 }
 
+// noCopyAge is the age of a missing copy.
+const noCopyAge = clock.Hour
+
 // age returns the time since when changes may have been missed: the greatest age of
 // a copy that is not watched.
 func (v *views) age() clock.Duration {
@@ -127,7 +139,10 @@
 func (v *views) ageLocked() clock.Duration {
 	now, age := v.clock.Now(), clock.Duration(0)
 	for _, name := range copiedKinds {
-		if !v.watched[name] {
+		switch {
+		case v.copies[name].Revision == 0:
+			age = max(age, noCopyAge)
+		case !v.watched[name]:
 			age = max(age, now.Sub(v.freshAt[name]))
 		}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -25,6 +25,7 @@
 	maxFrameBytes = 16 << 20
 	writeTimeout  = 2 * clock.Second // a follower that does not read for longer is disconnected
 	helloTimeout  = clock.Second
+	dialTimeout   = 500 * clock.Millisecond // an instance that is up answers within a few round trips
 )
 
 // Frame is a message from a source to a follower.
@@ -103,15 +104,9 @@
 }
 
 func readHello(ctx context.Context, c *websocket.Conn) (map[string]view.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout.Std())
-	defer cancel()
-	_, data, err := c.Read(ctx)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	h := hello{}
-	if err := cbor.Unmarshal(data, &h); err != nil {
-		return nil, errors.WithStack(err)
+	var h hello
+	if err := read(ctx, c, helloTimeout, &h); err != nil {
+		return nil, err
 	}
 	if h.Have == nil {
 		h.Have = map[string]view.Revision{}
@@ -137,8 +132,8 @@
 	}
 	defer func() { _ = c.CloseNow() }() // tells the source to stop sending
 	for {
-		frame, err := read(ctx, c, timeout)
-		if err != nil {
+		var frame Frame
+		if err := read(ctx, c, timeout, &frame); err != nil {
 			return err
 		}
 		if !handle(frame) {
@@ -148,7 +143,7 @@
 }
 
 func dial(ctx context.Context, address string, have map[string]view.Revision) (*websocket.Conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, helloTimeout.Std())
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout.Std())
 	defer cancel()
 	c, _, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil) //nolint:bodyclose // Dial closes it
 	if err != nil {
@@ -166,13 +161,13 @@
 	return c, nil
 }
 
-func read(ctx context.Context, c *websocket.Conn, timeout clock.Duration) (Frame, error) {
+// read reads one message into out.
+func read(ctx context.Context, c *websocket.Conn, timeout clock.Duration, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
 	defer cancel()
 	_, data, err := c.Read(ctx)
 	if err != nil {
-		return Frame{}, errors.WithStack(err)
+		return errors.WithStack(err)
 	}
-	var f Frame
-	return f, errors.WithStack(cbor.Unmarshal(data, &f))
+	return errors.WithStack(cbor.Unmarshal(data, out))
 }
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -133,29 +133,35 @@
 
 func (d *decoder) decodeLiteral(path string, v hujson.Value, dst reflect.Value) {
 	literal, _ := v.Value.(hujson.Literal)
-	if dst.Kind() == reflect.String {
+	switch dst.Kind() {
+	case reflect.String:
 		if v.Value.Kind() != '"' {
 			d.report(path, KindWrongType, "expected a string")
 			return
 		}
 		dst.SetString(literal.String())
-		return
-	}
-	if dst.Kind() == reflect.Float64 {
+	case reflect.Bool:
+		text := string(literal)
+		if text != "true" && text != "false" {
+			d.report(path, KindWrongType, "expected true or false")
+			return
+		}
+		dst.SetBool(text == "true")
+	case reflect.Float64:
 		f, err := strconv.ParseFloat(string(literal), 64)
 		if err != nil {
 			d.report(path, KindWrongType, "expected a number")
 			return
 		}
 		dst.SetFloat(f)
-		return
-	}
-	n, err := strconv.ParseInt(string(literal), 10, 64)
-	if err != nil || dst.OverflowInt(n) {
-		d.report(path, KindWrongType, "expected a whole number")
-		return
+	default:
+		n, err := strconv.ParseInt(string(literal), 10, 64)
+		if err != nil || dst.OverflowInt(n) {
+			d.report(path, KindWrongType, "expected a whole number")
+			return
+		}
+		dst.SetInt(n)
 	}
-	dst.SetInt(n)
 }
 
 func joinPath(path, name string) string {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -21,6 +21,10 @@
 
 	Capacity float64 `json:"capacity"` // processor share of the instance, greater than 0
 
+	// NewDeployment tells that the whole deployment starts for the first time. The
+	// instance then waits for the others to register. Default: false
+	NewDeployment bool `json:"newDeployment"`
+
 	Repeats  RepeatLimit     `json:"repeats"`
 	Shutdown GatewayShutdown `json:"shutdown"`
 	LogLevel LogLevel        `json:"logLevel"` // debug, info, warn or error; default: info
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -43,6 +43,7 @@
 		"policyParams.budgetSlack": "116", "policyParams.graceS": "6",
 	}
 	text := strings.ReplaceAll(string(data), "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", `"127.0.0.1:8106","127.0.0.2:8106"`)
+	text = strings.ReplaceAll(text, "{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", "true")
 	text = regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(placeholder string) string {
 		value, ok := values[strings.Trim(placeholder, "{}")]
 		if !ok {
@@ -70,6 +71,7 @@
 		"ratio too high":   {`"ratio": 0.2`, `"ratio": 2`, "repeats.ratio"},
 		"unknown field":    {`"slack": 116`, `"slack": 116, "slak": 1`, "repeats.slak"},
 		"no grace":         {`"graceSeconds": 6`, `"graceSeconds": 0`, "shutdown.graceSeconds"},
+		"number as truth":  {`"newDeployment": true`, `"newDeployment": 1`, "newDeployment"},
 		"late catch-up":    {`"catchUpMs": 4000`, `"catchUpMs": 1`, "store.catchUpMs"},
 	} {
 		t.Run(name, func(t *testing.T) {
