Serve the connections that are queued when an instance stops

Cause: a planned stop closed the listener, and the system resets the connections that it has accepted and the process has not. A shutdown now goes on accepting for 50 ms before it closes the listener.

Ruled out: a second signal (it is ignored while the stop goes on), and a stop while an instance starts. Connections that have been accepted and have sent nothing yet are served by http.Server for up to 5 s as before.

--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -6,7 +6,9 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,7 +18,7 @@
 // Server serves callers. A connection keeps the limits that were set when it was opened,
 // since each set of limits has its own http.Server.
 type Server struct {
-	listener net.Listener
+	listener *net.TCPListener
 	handler  http.Handler
 
 	mu      sync.Mutex
@@ -32,7 +34,11 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	s := &Server{listener: l, handler: handler}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Errorf("listening on %s gave a %T, want a TCP listener", address, l)
+	}
+	s := &Server{listener: tcp, handler: handler}
 	s.SetLimits(routing.DefaultLimits)
 	return s, nil
 }
@@ -61,13 +67,23 @@
 	}(s.current)
 }
 
+// Time of a shutdown.
+const (
+	// queueTime is how long a shutdown goes on accepting connections, which the system
+	// may have queued. Closing the listener would reset them.
+	queueTime = 50 * time.Millisecond
+	// handOverTime is the time in which an http.Server begins to serve a connection
+	// that it has been passed.
+	handOverTime = 5 * time.Millisecond
+)
+
 // Serve accepts connections and passes them to the http.Server with the current limits
 // until Shutdown.
 func (s *Server) Serve() error {
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil
 			}
 			return errors.WithStack(err)
@@ -90,6 +106,10 @@
 	s.closed = true
 	servers := s.servers
 	s.mu.Unlock()
+	if s.listener.SetDeadline(time.Now().Add(queueTime)) == nil {
+		_ = s.Serve() // until the deadline; an error ends it sooner
+		time.Sleep(handOverTime)
+	}
 	_ = s.listener.Close() // no connection is accepted any more, even if it fails
 	var wait sync.WaitGroup
 	for _, server := range servers {
