Answer requests whose head arrives while an instance stops

Cause: http.Server closes a connection without an answer when the head of its request is complete only after Shutdown has begun, also on a connection that was accepted before. A shutdown now ends keep-alive first, waits up to a second for the connections that are open, and calls Shutdown then.

--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	current *connListener  // of the server with the current limits
 	servers []*http.Server // for all limits so far
 	closed  bool
+
+	open atomic.Int64 // accepted connections that have not been closed
 }
 
 // Listen returns a Server that listens on address.
@@ -59,6 +62,7 @@
 		MaxHeaderBytes:    l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTimeout.Std(),
 		IdleTimeout:       l.IdleTimeout.Std(),
+		ConnState:         s.countConnection,
 	}
 	s.current = &connListener{conns: make(chan net.Conn), done: make(chan struct{}), address: s.listener.Addr()}
 	s.servers = append(s.servers, server)
@@ -67,14 +71,17 @@
 	}(s.current)
 }
 
-// Time of a shutdown.
+// Times of a shutdown.
 const (
 	// queueTime is how long a shutdown goes on accepting connections, which the system
 	// may have queued. Closing the listener would reset them.
 	queueTime = 50 * time.Millisecond
-	// handOverTime is the time in which an http.Server begins to serve a connection
-	// that it has been passed.
-	handOverTime = 5 * time.Millisecond
+	// newConnectionTime is how long a shutdown waits for the requests on connections
+	// that have been accepted and have not sent a whole head yet. http.Server.Shutdown
+	// would close them without an answer.
+	newConnectionTime = time.Second
+	// pollPeriod is the time between two looks for open connections.
+	pollPeriod = 5 * time.Millisecond
 )
 
 // Serve accepts connections and passes them to the http.Server with the current limits
@@ -91,9 +98,11 @@
 		s.mu.Lock()
 		h := s.current
 		s.mu.Unlock()
+		s.open.Add(1)
 		select {
 		case h.conns <- c:
 		case <-h.done:
+			s.open.Add(-1)
 			_ = c.Close() // the server is shutting down
 		}
 	}
@@ -108,9 +117,12 @@
 	s.mu.Unlock()
 	if s.listener.SetDeadline(time.Now().Add(queueTime)) == nil {
 		_ = s.Serve() // until the deadline; an error ends it sooner
-		time.Sleep(handOverTime)
 	}
 	_ = s.listener.Close() // no connection is accepted any more, even if it fails
+	for _, server := range servers {
+		server.SetKeepAlivesEnabled(false) // closes idle connections, and the others after their answer
+	}
+	s.awaitConnections(ctx)
 	var wait sync.WaitGroup
 	for _, server := range servers {
 		wait.Go(func() {
@@ -121,6 +133,29 @@
 	wait.Wait()
 }
 
+// awaitConnections waits until no connection is open, for up to newConnectionTime or
+// until ctx is done.
+func (s *Server) awaitConnections(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, newConnectionTime)
+	defer cancel()
+	ticker := time.NewTicker(pollPeriod)
+	defer ticker.Stop()
+	for s.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// countConnection counts the open connections; it is the ConnState hook of all servers.
+func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.open.Add(-1)
+	}
+}
+
 // connListener is a net.Listener that returns the connections passed to its channel.
 type connListener struct {
 	conns   chan net.Conn
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -1,12 +1,17 @@
 package relay_test
 
 import (
+	"bytes"
+	"context"
+	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/google/go-cmp/cmp"
 
 	"knapweedstall/core/clock"
@@ -88,3 +93,50 @@
 		t.Errorf("the silent source was detected after %v, want at most 1s", took)
 	}
 }
+
+// TestMalformedFrames guards against a source that sends a frame that is too large, has
+// no end or can't be decoded: following it must fail, and the memory must be bounded.
+func TestMalformedFrames(t *testing.T) {
+	for name, send := range map[string]func(ctx context.Context, c *websocket.Conn) error{
+		"not CBOR": func(ctx context.Context, c *websocket.Conn) error {
+			return c.Write(ctx, websocket.MessageBinary, []byte("{}"))
+		},
+		"deep": func(ctx context.Context, c *websocket.Conn) error {
+			return c.Write(ctx, websocket.MessageBinary, bytes.Repeat([]byte{0x81}, 1<<20))
+		},
+		"false size": func(ctx context.Context, c *websocket.Conn) error {
+			return c.Write(ctx, websocket.MessageBinary, []byte{0xa1, 2, 0xbb, 0, 0, 0, 0x7f, 0xff, 0xff, 0xff, 0xff})
+		},
+		"endless": func(ctx context.Context, c *websocket.Conn) error {
+			w, err := c.Writer(ctx, websocket.MessageBinary)
+			for chunk := make([]byte, 1<<16); err == nil; {
+				_, err = w.Write(chunk)
+			}
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				c, err := websocket.Accept(w, r, nil)
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.CloseNow() }()
+				if _, _, err := c.Read(r.Context()); err == nil {
+					_ = send(r.Context(), c)
+				}
+				_, _, _ = c.Read(r.Context()) // until the follower disconnects
+			}))
+			t.Cleanup(server.CloseClientConnections)
+			address := strings.TrimPrefix(server.URL, "http://")
+			if err := relay.Follow(t.Context(), address, nil, 5*clock.Second, func(relay.Frame) bool { return true }); err == nil {
+				t.Error("the frame was accepted")
+			}
+			var used runtime.MemStats
+			runtime.ReadMemStats(&used)
+			if limit := uint64(128 << 20); used.HeapAlloc > limit {
+				t.Errorf("%d bytes of memory in use, want at most %d", used.HeapAlloc, limit)
+			}
+		})
+	}
+}
