Follow neighbours also after a start without the store

Cause: an instance that began to read the store without copies never followed its neighbours in other zones while it watched, so it lacked what they are for. Found on reading.

--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -112,10 +112,8 @@
 func (g *Gateway) watchStore(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if g.views.complete() { // a neighbour would send all objects to an instance without copies
-		for i := range maxNeighbours {
-			go g.followNeighbour(ctx, i)
-		}
+	for i := range maxNeighbours {
+		go g.followNeighbour(ctx, i)
 	}
 	for ctx.Err() == nil {
 		if g.waitForStore(ctx) || g.watchUntilLost(ctx) {
@@ -235,10 +233,11 @@
 func (g *Gateway) silenceTimeout() clock.Duration { return g.heartbeatPeriod() * 5 / 2 }
 
 // followNeighbour follows the first instance of another zone, whether or not it is up
-// to date, until ctx is done. i selects the zone.
+// to date, until ctx is done. i selects the zone. It begins when there are copies of all
+// kinds, since the neighbour would send all objects from another zone.
 func (g *Gateway) followNeighbour(ctx context.Context, i int) {
 	for ctx.Err() == nil {
-		if address := g.neighbour(i); address != "" {
+		if address := g.neighbour(i); address != "" && g.views.complete() {
 			err := relay.Follow(ctx, address, g.views.revisions(), g.silenceTimeout(), func(f relay.Frame) bool {
 				g.views.merge(f)
 				return true
