Wait for the last accept when an instance stops

An instance got SIGTERM at 30.634 s; a request that was sent to it at 33.624 s reached a target at 33.687 s, and the process ended then without an answer.

Cause, by reading: two loops accept connections at the end of a stop, one of them in the stop itself. The stop waited for its own only, so a connection that the other had just accepted was not counted yet.

--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -19,7 +20,7 @@
 // Server serves callers. A connection keeps the limits that were set when it was opened,
 // since each set of limits has its own http.Server.
 type Server struct {
-	listener *net.TCPListener
+	listener deadlineListener
 	handler  http.Handler
 
 	mu      sync.Mutex
@@ -28,7 +29,14 @@
 	servers []*http.Server // for all limits so far
 	closed  bool
 
-	open atomic.Int64 // accepted connections that have not been closed
+	accepting sync.WaitGroup // calls of Serve
+	open      atomic.Int64   // accepted connections that have not been closed
+}
+
+// deadlineListener is a listener whose Accept can be given a deadline.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
 }
 
 // Listen returns a Server that listens on address.
@@ -37,13 +45,28 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	tcp, ok := l.(*net.TCPListener)
+	d, ok := l.(deadlineListener)
 	if !ok {
-		return nil, errors.Errorf("listening on %s gave a %T, want a TCP listener", address, l)
+		return nil, errors.WithStack(&ListenerError{Address: address, Listener: l})
 	}
-	s := &Server{listener: tcp, handler: handler}
+	return newServer(d, handler), nil
+}
+
+func newServer(l deadlineListener, handler http.Handler) *Server {
+	s := &Server{listener: l, handler: handler}
 	s.SetLimits(routing.DefaultLimits)
-	return s, nil
+	return s
+}
+
+// ListenerError reports that the listener on an address accepts no deadline.
+type ListenerError struct {
+	Address  string
+	Listener net.Listener
+}
+
+// Error implements error.
+func (e *ListenerError) Error() string {
+	return fmt.Sprintf("the listener on %s, a %T, accepts no deadline", e.Address, e.Listener)
 }
 
 // Address returns the address that the server listens on.
@@ -87,6 +110,8 @@
 // Serve accepts connections and passes them to the http.Server with the current limits
 // until Shutdown.
 func (s *Server) Serve() error {
+	s.accepting.Add(1)
+	defer s.accepting.Done()
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
@@ -117,6 +142,9 @@
 	s.mu.Unlock()
 	if s.listener.SetDeadline(time.Now().Add(queueTime)) == nil {
 		_ = s.Serve() // until the deadline; an error ends it sooner
+		// A connection that another call accepted last must be counted before the open
+		// ones are awaited.
+		s.accepting.Wait()
 	}
 	_ = s.listener.Close() // no connection is accepted any more, even if it fails
 	for _, server := range servers {
