Release the lock when a panic ends the start of a request

Found on reading: a panic while the first sends were selected left a request without a call, and finishing it then panicked with the lock held, so that the instance would have hung. TestPanicFailsOneRequest now also plays a request for one service and the count of open requests; it failed before.

--- a/gateway/panics_test.go
+++ b/gateway/panics_test.go
@@ -22,6 +22,9 @@
 	g := New(s, osclock.New(), log.New(io.Discard))
 	g.table = routing.NewTable(&routing.Config{Version: 1, Routes: []routing.Route{{
 		Name: "search", Host: "h", Prefix: "/", Kind: routing.Idempotent, Shards: []routing.ServiceName{"a", "b"}, MaxAttempts: 2, TopK: 1,
+	}, {
+		Name: "plain", Host: "h", Prefix: "/plain/", Kind: routing.Idempotent, MaxAttempts: 2,
+		Split: []routing.WeightedService{{Service: "a", Weight: 1}},
 	}}})
 	g.targets = nil
 	return g
@@ -31,11 +34,19 @@
 // the process or keeps the lock that all requests need.
 func TestPanicFailsOneRequest(t *testing.T) {
 	g := newFaultyGateway()
-	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
-	g.serveRecovered(w, r)
-	if w.Code != http.StatusBadGateway {
-		t.Errorf("status %d, want %d", w.Code, http.StatusBadGateway)
+	for _, path := range []string{"/x", "/plain/x"} { // a search, and a request for one service
+		w := httptest.NewRecorder()
+		g.serveRecovered(w, httptest.NewRequest(http.MethodGet, "http://h"+path, nil))
+		if w.Code != http.StatusBadGateway {
+			t.Errorf("status %d for %s, want %d", w.Code, path, http.StatusBadGateway)
+		}
+		if !g.mu.TryLock() {
+			t.Fatalf("the lock is held after a panic on %s", path)
+		}
+		g.mu.Unlock()
+	}
+	if got := g.openRequests(); got != 0 {
+		t.Errorf("%d requests count as open after their panics, want 0", got)
 	}
 	answer := g.runSearch(t.Context(), delegate.Search{Version: 1, Route: "search", RequestID: "1", Remaining: 100})
 	if answer.State != string(fanout.Failure) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -359,14 +359,22 @@
 // finish ends the request. Sends that are still in flight are canceled after
 // losingSendTimeout.
 func (q *request) finish() {
-	q.g.mu.Lock()
-	q.g.openCount--
-	q.g.placing.LocalDone()
-	inFlight := q.call.InFlight()
-	q.g.mu.Unlock()
-	if inFlight == 0 {
+	if q.end() == 0 {
 		q.cancel()
 		return
 	}
 	time.AfterFunc(losingSendTimeout.Std(), q.cancel)
 }
+
+// end uncounts the request and returns the number of its sends in flight. There is no
+// call if a panic has ended start.
+func (q *request) end() int {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.g.openCount--
+	q.g.placing.LocalDone()
+	if q.call == nil {
+		return 0
+	}
+	return q.call.InFlight()
+}
