Log and count limits of requests that targets state

Instances now parse the header, log when what it says changes, and publish how many targets state a limit. Nothing obeys the limit yet.

Each instance is told; none acts on it.

--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -100,6 +100,11 @@
 	shedUntil clock.Time
 
 	coldTokens tokenBucket
+
+	limitKind LimitKind   // what the latest answer that told said about the limit
+	limited   bool        // the target limits the requests that it takes
+	limitRate RequestRate // its limit if limited; all instances share it
+	limitedAt clock.Time  // when an answer last stated the limit
 }
 
 func newTarget(l Listing, now clock.Time) *Target {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -209,12 +209,14 @@
 		g.pool.CloseExpired()
 		version := int64(0)
 		g.mu.Lock()
+		limited := g.targets.LimitedTargets()
 		removed := g.targets.Expire(g.clock.Now())
 		if g.table != nil {
 			version = int64(g.table.Config.Version)
 		}
 		g.mu.Unlock()
 		g.pool.CloseIdle(removed)
+		g.metrics.targetsLimited.Update(float64(limited))
 		g.metrics.update(version, g.views.age(), g.pool.Opened(), g.droppedLines())
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,7 @@
 	panics            tally.Counter // requests that a panic failed
 	configVersion     tally.Gauge
 	viewAge           tally.Gauge
+	targetsLimited    tally.Gauge // targets that state a limit of requests
 
 	lastConnects, lastDropped int64
 }
@@ -56,6 +57,7 @@
 		panics:            scope.Counter("panics"),
 		configVersion:     scope.Gauge("config_version"),
 		viewAge:           scope.Gauge("view_age_ms"),
+		targetsLimited:    scope.Gauge("targets_limited"),
 	}
 	for _, s := range []fanout.State{
 		fanout.Complete, fanout.Partial, fanout.Failure, fanout.Refused, fanout.TimedOut, fanout.Expired, fanout.Abandoned,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -255,7 +255,8 @@
 func (q *request) send(s fanout.Send, id topology.TargetID, address string) {
 	g := q.g
 	defer q.failOnPanic()
-	remaining := q.params.Deadline.Sub(g.clock.Now())
+	sent := g.clock.Now()
+	remaining := q.params.Deadline.Sub(sent)
 	res := g.pool.Send(q.ctx, &q.out, id, address, remaining)
 	g.metrics.send(res.Outcome)
 	if res.Outcome == replica.Lost {
@@ -276,6 +277,9 @@
 		}
 	}
 	now := g.clock.Now()
+	if g.targets.ObserveLimit(s.Target, res.Limit, sent, now) {
+		g.log.Info("target's limit of requests changed", "service", s.Service, "target", id, "limit", res.Limit.Kind, "perSecond", float64(res.Limit.Rate))
+	}
 	q.launch(q.call.Done(s.Attempt, res.Outcome, now))
 	q.wakeIfDue(now)
 }
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -42,8 +42,9 @@
 type Result struct {
 	Outcome          replica.Outcome
 	Answer           Answer
-	Err              error // why there is no answer
-	ConnectionBroken bool  // the target may have crashed
+	Limit            replica.StatedLimit // what the answer says about the target's limit
+	Err              error               // why there is no answer
+	ConnectionBroken bool                // the target may have crashed
 }
 
 // Send sends r to a target and waits for its answer until ctx is done. remaining is
@@ -154,7 +155,11 @@
 			c.idleTimeout = d
 		}
 		reusable = skipped == 0 && !resp.Close && c.reader.Buffered() == 0
-		return classify(resp, reply, body), reusable
+		res = classify(resp, reply, body)
+		if !reply.Replaced { // else another target has answered
+			res.Limit = platform.Limit(resp.Header)
+		}
+		return res, reusable
 	}
 }
 
