--- /dev/null
+++ b/core/replica/limit_test.go
@@ -0,0 +1,164 @@
+package replica_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/replica"
+	"knapweedstall/core/routing"
+	"knapweedstall/core/topology"
+)
+
+// limitWindow is the period in which the requests to a limited target are counted.
+const limitWindow = 4 * clock.Second
+
+// allowedInWindow returns how many requests a target that limits its requests bears
+// in limitWindow.
+func allowedInWindow(limit replica.RequestRate) int {
+	return int(1.5*float64(limit)*float64(limitWindow)/float64(clock.Second)) + 5
+}
+
+// limitedLoad is a load on the targets of one service, of which some limit their
+// requests.
+type limitedLoad struct {
+	instances int
+	shares    []float64 // share of the searches that each instance runs; nil for equal shares
+	perSecond float64   // requests to the service from all instances together
+	limit     replica.RequestRate
+	targets   int // of the service; the first one is limited
+}
+
+// instance returns the number of the instance that gets a request.
+func (l *limitedLoad) instance(random *rand.Rand) int {
+	if l.shares == nil {
+		return random.IntN(l.instances)
+	}
+	at := random.Float64()
+	for i, share := range l.shares {
+		if at -= share; at < 0 {
+			return i
+		}
+	}
+	return l.instances - 1
+}
+
+// play sends the load for the duration and returns when the limited target got
+// requests, and how many requests got no target. Each answer of the limited target
+// states the limit.
+func (l *limitedLoad) play(duration clock.Duration) (sent []clock.Time, refused int) {
+	var listings []replica.Listing
+	for i := range l.targets {
+		listings = append(listings, listing(topology.TargetID(fmt.Sprintf("t%d", i)), "z1"))
+	}
+	var sets []*replica.Set
+	for i := range l.instances {
+		s := replica.NewSet("z1", rand.New(rand.NewPCG(uint64(i), 7)))
+		s.Update(listings, 1)
+		share := 0.0
+		if l.shares != nil {
+			share = l.shares[i]
+		}
+		s.SetShards(func(routing.ServiceName) bool { return l.shares != nil })
+		s.SetInstances(l.instances, share, anySender)
+		sets = append(sets, s)
+	}
+	random := rand.New(rand.NewPCG(5, 6))
+	at := 10_000.0 // milliseconds since the start of the process
+	for end := at + float64(duration); at < end; at += random.ExpFloat64() * float64(clock.Second) / l.perSecond {
+		now := clock.Time(at)
+		s := sets[l.instance(random)]
+		c := s.Pick("s", defaultService, nil, replica.First, now)
+		if c.Target == nil {
+			refused++
+			continue
+		}
+		s.Done(c.Target, replica.Result{Outcome: replica.Answered}, now)
+		stated := replica.StatedLimit{Kind: replica.Unlimited}
+		if c.Target.ID == "t0" {
+			sent = append(sent, now)
+			stated = replica.StatedLimit{Kind: replica.Limited, Rate: l.limit}
+		}
+		s.ObserveLimit(c.Target, stated, now, now)
+	}
+	return sent, refused
+}
+
+// mostInWindow returns the largest number of times within limitWindow, from a time on.
+func mostInWindow(times []clock.Time, from clock.Time) int {
+	most, first := 0, 0
+	for last, at := range times {
+		for times[first].Before(from) && first < last || at.Sub(times[first]) >= limitWindow {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// largeAndSmall returns the shares of the searches of n instances, of which the first
+// few are large and run most of them.
+func largeAndSmall(n, large int) []float64 {
+	const largeShare = 0.8
+	shares := make([]float64, n)
+	for i := range shares {
+		if i < large {
+			shares[i] = largeShare / float64(large)
+		} else {
+			shares[i] = (1 - largeShare) / float64(n-large)
+		}
+	}
+	return shares
+}
+
+// TestLimitedTargetGetsNoMoreThanItStates guards against instances that together send
+// more requests to a target than the limit that it states.
+func TestLimitedTargetGetsNoMoreThanItStates(t *testing.T) {
+	const duration, told = 60 * clock.Second, 5 * clock.Second
+	for name, l := range map[string]limitedLoad{
+		"one instance":                     {instances: 1, perSecond: 60, limit: 20, targets: 2},
+		"14 instances":                     {instances: 14, perSecond: 90, limit: 21, targets: 2},
+		"14 instances, a low limit":        {instances: 14, perSecond: 90, limit: 1.5, targets: 2},
+		"14 instances, a limit of none":    {instances: 14, perSecond: 90, limit: 0, targets: 2},
+		"14 instances, the only target":    {instances: 14, perSecond: 90, limit: 21, targets: 1},
+		"30 instances, a burst":            {instances: 30, perSecond: 900, limit: 21, targets: 2},
+		"300 instances":                    {instances: 300, perSecond: 300, limit: 21, targets: 1},
+		"300 instances, a low limit":       {instances: 300, perSecond: 300, limit: 2, targets: 1},
+		"300 instances, of which 20 large": {instances: 300, shares: largeAndSmall(300, 20), perSecond: 90, limit: 21, targets: 2},
+		"1000 instances":                   {instances: 1000, perSecond: 500, limit: 21, targets: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent, _ := l.play(duration)
+			if got, allowed := mostInWindow(sent, sent[0].Add(told)), allowedInWindow(l.limit); got > allowed {
+				t.Errorf("%d requests in %d ms, want at most %d", got, limitWindow, allowed)
+			}
+		})
+	}
+}
+
+// TestLimitEnds guards against a target that states no limit any more and still gets
+// only the requests that its earlier limit allowed, and against a late answer from the
+// time before the limit that lifts it.
+func TestLimitEnds(t *testing.T) {
+	const stated, ended = clock.Time(1000), clock.Time(2000)
+	for name, c := range map[string]struct {
+		sent clock.Time // when the request was sent whose answer states no limit
+		want bool       // the target is limited afterwards
+	}{
+		"an answer to a later request":    {stated + 10, false},
+		"an answer to an earlier request": {stated - 10, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSet(1, listing("a", "z1"))
+			choice := s.Pick("s", defaultService, nil, replica.First, stated)
+			s.ObserveLimit(choice.Target, replica.StatedLimit{Kind: replica.Limited, Rate: 1}, stated, stated)
+			s.ObserveLimit(choice.Target, replica.StatedLimit{Kind: replica.Unlimited}, c.sent, ended)
+			if diff := cmp.Diff(c.want, s.LimitedTargets() == 1); diff != "" {
+				t.Errorf("limited (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
