Keep to the limit of requests that a target states, all instances together

Callers saw nothing; a target in need got up to four times what it said that it takes.

Cause: instances did not read the header, so that the target kept its usual half of the searches.

Now a target's limit is part of its state in core/replica. Each instance has a share of it, in slots that expire, so that instances which were idle can't send together.

TestRefusedSearchUsesNoLimit fails if a refused search keeps its slots (0 sends, want 1), TestStatedLimitIsKept if limits have no effect (96 requests where 20 are allowed).

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -22,6 +22,7 @@
 // Targets selects targets and updates its estimates from the outcomes of sends.
 type Targets interface {
 	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, purpose replica.Purpose, now clock.Time) replica.Choice
+	Undo(t *replica.Target)        // a send that Pick has counted was not made
 	MarkOverdue(t *replica.Target) // a send to t has no outcome after Latency.HedgeDelay
 	Done(t *replica.Target, r replica.Result, now clock.Time)
 }
@@ -121,7 +122,7 @@
 func (c *Call) cancelFirstSends(now clock.Time) {
 	for _, a := range c.attempts {
 		s := &c.shards[a.shard]
-		c.targets.Done(a.target, replica.Result{Outcome: replica.Canceled}, now)
+		c.targets.Undo(a.target)
 		if a.repeat {
 			c.budget.Refund(s.service, now)
 		}
--- a/core/fanout/call_test.go
+++ b/core/fanout/call_test.go
@@ -259,3 +259,30 @@
 		t.Errorf("failure details (-want +got):\n%s", diff)
 	}
 }
+
+// TestRefusedSearchUsesNoLimit guards against searches that are refused because another
+// shard has no target, and that use up the requests which a limited target takes.
+func TestRefusedSearchUsesNoLimit(t *testing.T) {
+	const told = clock.Time(10)
+	env := newTestEnv("a")
+	env.targets.SetInstances(1, 1, func(topology.TargetID, int) bool { return false })
+	for _, other := range []topology.TargetID{"a1", "a2"} {
+		limited := env.targets.Pick("a", nil, []topology.TargetID{other}, replica.First, told).Target
+		env.targets.Done(limited, replica.Result{Outcome: replica.Answered}, told)
+		env.targets.ObserveLimit(limited, replica.StatedLimit{Kind: replica.LimitStated, Rate: 0.5}, told, told)
+	}
+	now := told.Add(10 * clock.Second)
+	for env.targets.Pick("a", nil, nil, replica.First, now).Reason != replica.Selected {
+		now++ // until a slot begins
+	}
+	now = now.Add(2300) // the interval of the slots is 2222 ms
+	for range 5 {
+		call, sends := env.newCall(searchParams("a", "unlisted"), now)
+		if state := call.State(now); state != fanout.Refused || len(sends) != 0 {
+			t.Fatalf("state %s with %d sends, want it refused without any", state, len(sends))
+		}
+	}
+	if _, sends := env.newCall(searchParams("a"), now); len(sends) != 1 {
+		t.Errorf("%d sends after refused searches, want 1", len(sends))
+	}
+}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -36,6 +36,8 @@
 	Busy Reason = "busy"
 	// Cold: the target has just started and may get no further request now.
 	Cold Reason = "cold"
+	// OverLimit: this instance has used its share of the limit that the target states.
+	OverLimit Reason = "limit"
 	// Paced: too many sends to the target were late, and it has just got a request.
 	Paced Reason = "paced"
 	// Shedding: the target sheds so many requests that a hedge to it would waste a
@@ -81,6 +83,7 @@
 	// maySendCold reports whether this instance may send to a cold target when
 	// only the given number of instances may.
 	maySendCold func(topology.TargetID, int) bool
+	slotPhase   float64 // of the slots of limited targets, above 0 to 1; 0 until a target is limited
 }
 
 // NewSet returns an empty Set of an instance in zone.
@@ -200,6 +203,9 @@
 	if best.cold(now) && svc != nil && svc.ColdPerSecond > 0 {
 		best.coldTokens.take(s.coldRate(svc), now)
 	}
+	if best.limited {
+		best.slots.take(s.slotInterval(best), now)
+	}
 	best.inFlight++
 	best.recordSend(now)
 	if best.failures > 0 {
@@ -235,6 +241,8 @@
 		return Busy, t.shedUntil
 	case t.inFlight >= s.maxConnections(svc):
 		return Busy, 0
+	case t.limited && now.Before(s.nextSlot(t, now)):
+		return OverLimit, s.nextSlot(t, now)
 	case t.cold(now) && svc != nil && svc.ColdPerSecond > 0 && !s.coldSendAllowed(t, svc, now):
 		return Cold, now.Add(clock.Duration(float64(clock.Second) / s.coldRate(svc)))
 	}
@@ -257,6 +265,16 @@
 	return w
 }
 
+// Undo uncounts a send that Pick has counted and that was not made.
+func (s *Set) Undo(t *Target) {
+	t.inFlight--
+	t.probing = false
+	t.coldTokens.untake()
+	if t.limited {
+		t.slots.untake()
+	}
+}
+
 // MarkOverdue notes that a send to t is overdue. The caller also sets Result.Overdue
 // when the send ends.
 func (s *Set) MarkOverdue(t *Target) { t.overdue++ }
--- a/core/replica/share.go
+++ b/core/replica/share.go
@@ -28,18 +28,13 @@
 func (s *Set) SetShards(isShard func(routing.ServiceName) bool) { s.isShard = isShard }
 
 // maxConnections returns how many connections this instance may have to a target
-// of the service. The instances share the connections to shards by the searches that
-// they run, and the others equally. Each may have one, so that it can serve.
+// of the service. Each may have one, so that it can serve.
 func (s *Set) maxConnections(svc *routing.Service) int {
 	const defaultConnections = 64
 	if svc == nil || svc.MaxConnections <= 0 {
 		return defaultConnections
 	}
-	share := 1 / float64(s.instanceCount())
-	if s.searchShare > 0 && s.isShard(svc.Name) {
-		share = s.searchShare
-	}
-	return max(1, int(connectionShare*float64(svc.MaxConnections)*share))
+	return max(1, int(connectionShare*float64(svc.MaxConnections)*s.share(svc.Name)))
 }
 
 // instanceCount returns the number of instances, or defaultInstances when it is
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -105,6 +105,7 @@
 	limited   bool        // the target limits the requests that it takes
 	limitRate RequestRate // its limit if limited; all instances share it
 	limitedAt clock.Time  // when an answer last stated the limit
+	slots     limitSlots  // of this instance, if limited
 }
 
 func newTarget(l Listing, now clock.Time) *Target {
@@ -229,3 +230,6 @@
 	k.level--
 	return true
 }
+
+// untake returns a token.
+func (k *tokenBucket) untake() { k.level = min(1, k.level+1) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -236,6 +236,38 @@
 	}
 }
 
+// TestStatedLimitIsKept guards against an instance that does not read the limit of
+// requests that a target states, and against one that keeps to it after its end.
+func TestStatedLimitIsKept(t *testing.T) {
+	const limit, duration = 5, 2 * time.Second
+	env := newTestEnv(t)
+	in := env.start(nil)
+	target := env.targets["single1"]
+	target.SetRequestLimit(strconv.Itoa(limit))
+	in.do(t, "GET", "/plain/first", "") // its answer states the limit
+	before, refused := len(target.Runs()), 0
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if got := in.do(t, "GET", "/plain/1", ""); got.Status == http.StatusServiceUnavailable && got.Retry {
+			refused++
+		}
+	}
+	if got, allowed := len(target.Runs())-before, 3*limit*int(duration/time.Second)/2+5; got > allowed || got == 0 {
+		t.Errorf("%d requests in %v, want 1 to %d", got, duration, allowed)
+	}
+	if refused == 0 {
+		t.Error("no request was refused with the time to come back")
+	}
+	target.SetRequestLimit("")
+	env.eventually("the limit has ended", func() bool {
+		for range 5 {
+			if in.do(t, "GET", "/plain/2", "").Status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestMissingShard checks that a search whose shard is down is answered at once and
 // states the shard as missing.
 func TestMissingShard(t *testing.T) {
