Detect and log that an instance reaches no target

What was missing: an instance that is partitioned from all targets knows that each one is down, and no log line or metric told whether it knows that it is itself cut off.

Package core/reach suspects that when three targets begin to fail, or when nothing is heard from any target while a connection hangs, and a probe of four other targets makes sure. A single crashed target causes no probe. Isolated instances probe twice a second. Only the backoffs of targets that failed during an isolation end with it; nothing else acts on the state yet.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -22,8 +22,9 @@
 // Targets selects targets and updates its estimates from the outcomes of sends.
 type Targets interface {
 	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, purpose replica.Purpose, now clock.Time) replica.Choice
-	Undo(t *replica.Target)        // a send that Pick has counted was not made
-	MarkOverdue(t *replica.Target) // a send to t has no outcome after Latency.HedgeDelay
+	Undo(t *replica.Target) // a send that Pick has counted was not made
+	// MarkOverdue notes that a send to t has no outcome after Latency.HedgeDelay.
+	MarkOverdue(t *replica.Target, sent, now clock.Time)
 	Done(t *replica.Target, r replica.Result, now clock.Time)
 }
 
@@ -233,7 +234,7 @@
 	a.ended = true
 	took := now.Sub(a.started)
 	a.outcome, a.took = outcome, took
-	c.targets.Done(a.target, replica.Result{Outcome: outcome, Slowness: c.slowness(outcome, took), Overdue: a.overdue, Late: c.late(took)}, now)
+	c.targets.Done(a.target, replica.Result{Outcome: outcome, Slowness: c.slowness(outcome, took), Overdue: a.overdue, Late: c.late(took), Sent: a.started}, now)
 	s := &c.shards[a.shard]
 	s.inFlight--
 	if outcome.NotRun() {
@@ -333,7 +334,7 @@
 	for n := range c.attempts {
 		if a := &c.attempts[n]; a.shard == i && !a.ended && !a.overdue {
 			a.overdue = true
-			c.targets.MarkOverdue(a.target)
+			c.targets.MarkOverdue(a.target, a.started, now)
 		}
 	}
 	if c.params.Kind == routing.Idempotent && c.mayRepeat(s, false) {
--- /dev/null
+++ b/core/reach/reach.go
@@ -0,0 +1,105 @@
+// Package reach decides whether an instance is isolated from the targets. A target that
+// can't be reached is most often down itself. When several can't be reached, or none is
+// heard from, the instance makes a probe: it opens connections to a few targets. If none
+// of them can be reached either, the instance is isolated, and other instances should
+// run its requests until a probe reaches a target again.
+//
+// The package does no input or output: its user reports what the targets do, and makes
+// the probes.
+package reach
+
+import (
+	"knapweedstall/core/clock"
+	"knapweedstall/core/topology"
+)
+
+// Parameters of the suspicion that the instance is isolated.
+const (
+	// suspectedTargets is the number of targets that must fail for a suspicion.
+	suspectedTargets = 3
+	// minSilence is the time without an answer of any target after which one failed
+	// connection is enough for a suspicion.
+	minSilence = 100 * clock.Millisecond
+	// probeBackoff is the time after a probe that reached a target until another one
+	// may follow.
+	probeBackoff = clock.Second
+)
+
+// ProbeSize is the number of targets that a probe tries to reach.
+const ProbeSize = 4
+
+// Monitor collects what is known about the reachability of the targets. The zero
+// Monitor is ready to use, and its instance is not isolated.
+type Monitor struct {
+	targets int // that are known
+
+	heardAt  clock.Time                 // latest answer of any target
+	failing  map[topology.TargetID]bool // targets whose connections have begun to fail since the last probe that reached a target
+	overdue  map[topology.TargetID]bool // targets with a send that has become overdue since heardAt
+	probing  bool                       // a probe is under way
+	probeAt  clock.Time                 // earliest time of the next probe
+	isolated bool
+}
+
+// SetTargets sets the number of known targets.
+func (m *Monitor) SetTargets(n int) { m.targets = n }
+
+// Heard notes an answer of a target.
+func (m *Monitor) Heard(id topology.TargetID, now clock.Time) {
+	m.heardAt = now
+	delete(m.failing, id)
+	clear(m.overdue)
+}
+
+// ConnectFailed notes that the target can't be reached any more. sent is when the send
+// began that needed the connection. It reports whether a probe must be made now.
+func (m *Monitor) ConnectFailed(id topology.TargetID, sent, now clock.Time) (probe bool) {
+	if m.failing == nil {
+		m.failing = map[topology.TargetID]bool{}
+	}
+	m.failing[id] = true
+	silent := m.heardAt.Before(sent) && now.Sub(sent) >= minSilence
+	return (silent || m.suspicious(len(m.failing))) && m.startProbe(now)
+}
+
+// Overdue notes that a send to the target, which began at sent, is overdue. It reports
+// whether a probe must be made now.
+func (m *Monitor) Overdue(id topology.TargetID, sent, now clock.Time) (probe bool) {
+	if !m.heardAt.Before(sent) {
+		return false
+	}
+	if m.overdue == nil {
+		m.overdue = map[topology.TargetID]bool{}
+	}
+	m.overdue[id] = true
+	return m.suspicious(len(m.overdue)) && m.startProbe(now)
+}
+
+// suspicious reports whether so many failing targets are reason for a probe.
+func (m *Monitor) suspicious(targets int) bool { return targets >= min(suspectedTargets, m.targets) }
+
+// startProbe reports whether a probe may be made now, and notes that it is under way.
+func (m *Monitor) startProbe(now clock.Time) bool {
+	if m.probing || now.Before(m.probeAt) {
+		return false
+	}
+	m.probing = true
+	return true
+}
+
+// Probed notes the end of a probe that reached a number of targets. If it reached none,
+// the instance is isolated and the next probe is under way; else the probes end. It
+// reports whether the instance has become isolated or has ceased to be.
+func (m *Monitor) Probed(reached int, now clock.Time) (changed bool) {
+	before := m.isolated
+	m.isolated = reached == 0
+	if !m.isolated {
+		m.probing, m.probeAt = false, now.Add(probeBackoff)
+		clear(m.failing)
+		clear(m.overdue)
+	}
+	return m.isolated != before
+}
+
+// Isolated reports whether the instance reaches no target.
+func (m *Monitor) Isolated() bool { return m.isolated }
--- /dev/null
+++ b/core/replica/probe.go
@@ -0,0 +1,56 @@
+package replica
+
+import (
+	"knapweedstall/core/clock"
+	"knapweedstall/core/reach"
+)
+
+// Isolated reports whether this instance reaches no target.
+func (s *Set) Isolated() bool { return s.reach.Isolated() }
+
+// TakeProbe reports whether a probe must be made now that shows whether this instance
+// reaches targets. It reports each due probe once; the caller ends it with Probed.
+func (s *Set) TakeProbe() bool {
+	due := s.probeDue
+	s.probeDue = false
+	return due
+}
+
+// ProbeTargets returns the targets of a probe: random ones, those whose latest
+// connection failed only if there are too few others.
+func (s *Set) ProbeTargets() []Listing {
+	var sound, failing []Listing
+	for _, list := range s.services {
+		for _, t := range list {
+			switch {
+			case t.leaving() || s.evacuated[t.Zone]:
+			case t.failures > 0:
+				failing = append(failing, t.Listing)
+			default:
+				sound = append(sound, t.Listing)
+			}
+		}
+	}
+	s.shuffle(sound)
+	s.shuffle(failing)
+	all := append(sound, failing...)
+	return all[:min(reach.ProbeSize, len(all))]
+}
+
+func (s *Set) shuffle(list []Listing) {
+	s.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// Probed ends a probe that reached a number of targets. While it reaches none, the
+// instance is isolated and the caller makes another probe. It reports whether the
+// instance has become isolated or has ceased to be. Backoffs of targets that could not
+// be reached during the isolation end with it.
+func (s *Set) Probed(reached int, now clock.Time) (changed bool) {
+	changed = s.reach.Probed(reached, now)
+	if changed && !s.reach.Isolated() {
+		for _, t := range s.targets {
+			t.failures, t.downUntil = 0, 0
+		}
+	}
+	return changed
+}
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/reach"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/topology"
 )
@@ -83,6 +84,8 @@
 	// maySendCold reports whether this instance may send to a cold target when
 	// only the given number of instances may.
 	maySendCold func(topology.TargetID, int) bool
+	reach       reach.Monitor
+	probeDue    bool    // a probe of reach must be made
 	slotPhase   float64 // of the slots of limited targets, above 0 to 1; 0 until a target is limited
 }
 
@@ -156,6 +159,7 @@
 
 // rebuildIndex groups the targets by service, ordered by id.
 func (s *Set) rebuildIndex() {
+	s.reach.SetTargets(len(s.targets))
 	s.services = map[routing.ServiceName][]*Target{}
 	for _, t := range s.targets {
 		s.services[t.Service] = append(s.services[t.Service], t)
@@ -275,9 +279,12 @@
 	}
 }
 
-// MarkOverdue notes that a send to t is overdue. The caller also sets Result.Overdue
-// when the send ends.
-func (s *Set) MarkOverdue(t *Target) { t.overdue++ }
+// MarkOverdue notes that a send to t, which began at sent, is overdue. The caller also
+// sets Result.Overdue when the send ends.
+func (s *Set) MarkOverdue(t *Target, sent, now clock.Time) {
+	t.overdue++
+	s.probeDue = s.reach.Overdue(t.ID, sent, now) || s.probeDue
+}
 
 // Result describes the end of a send.
 type Result struct {
@@ -285,8 +292,9 @@
 	// Slowness is the latency relative to the median of the route; for an
 	// abandoned send it is a lower bound. 0 means that it is unknown.
 	Slowness float64
-	Overdue  bool // MarkOverdue was called for this send
-	Late     bool // it took so long that its answer may not have been used
+	Overdue  bool       // MarkOverdue was called for this send
+	Late     bool       // it took so long that its answer may not have been used
+	Sent     clock.Time // when the send began
 }
 
 // Outcome is the outcome of a send.
@@ -316,15 +324,19 @@
 	}
 	switch r.Outcome {
 	case Answered, Failed:
-		t.failures, t.downUntil = 0, 0
+		s.heard(t, now)
 		t.observeShed(false, now)
 	case Shed:
-		t.failures, t.downUntil = 0, 0
+		s.heard(t, now)
 		t.observeShed(true, now)
 		t.shedUntil = now.Add(shedBackoff)
 	case Replaced:
+		s.reach.Heard(t.ID, now)
 		t.downUntil = now.Add(replacedBackoff)
 	case Unsent:
+		if t.failures == 0 {
+			s.probeDue = s.reach.ConnectFailed(t.ID, r.Sent, now) || s.probeDue
+		}
 		t.connectFailed(now)
 	case Lost, Canceled:
 	}
@@ -341,6 +353,12 @@
 	}
 }
 
+// heard notes an answer of t.
+func (s *Set) heard(t *Target, now clock.Time) {
+	s.reach.Heard(t.ID, now)
+	t.failures, t.downUntil = 0, 0
+}
+
 // failurePenalty is the slowness that is recorded for a failed request.
 const failurePenalty = 8
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,16 +207,26 @@
 		case <-ticker.C:
 		}
 		g.pool.CloseExpired()
-		version := int64(0)
-		g.mu.Lock()
-		limited := g.targets.LimitedTargets()
-		removed := g.targets.Expire(g.clock.Now())
-		if g.table != nil {
-			version = int64(g.table.Config.Version)
-		}
-		g.mu.Unlock()
-		g.pool.CloseIdle(removed)
-		g.metrics.targetsLimited.Update(float64(limited))
-		g.metrics.update(version, g.views.age(), g.pool.Opened(), g.droppedLines())
+		g.pool.CloseIdle(g.expireTargets())
+		g.metrics.update(g.gauges())
+	}
+}
+
+// expireTargets removes expired targets and returns their ids.
+func (g *Gateway) expireTargets() []topology.TargetID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets.Expire(g.clock.Now())
+}
+
+// gauges returns the values of the metrics that are not counted by request.
+func (g *Gateway) gauges() gauges {
+	v := gauges{viewAge: g.views.age(), connectionsOpened: g.pool.Opened(), linesDropped: g.droppedLines()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v.targetsLimited, v.isolated = g.targets.LimitedTargets(), g.targets.Isolated()
+	if g.table != nil {
+		v.configVersion = g.table.Config.Version
 	}
+	return v
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/fanout"
 	"knapweedstall/core/replica"
+	"knapweedstall/core/routing"
 	iometrics "knapweedstall/io/metrics"
 )
 
@@ -35,6 +36,7 @@
 	configVersion     tally.Gauge
 	viewAge           tally.Gauge
 	targetsLimited    tally.Gauge // targets that state a limit of requests
+	isolated          tally.Gauge // 1 while the instance reaches no target
 
 	lastConnects, lastDropped int64
 }
@@ -58,6 +60,7 @@
 		configVersion:     scope.Gauge("config_version"),
 		viewAge:           scope.Gauge("view_age_ms"),
 		targetsLimited:    scope.Gauge("targets_limited"),
+		isolated:          scope.Gauge("isolated"),
 	}
 	for _, s := range []fanout.State{
 		fanout.Complete, fanout.Partial, fanout.Failure, fanout.Refused, fanout.TimedOut, fanout.Expired, fanout.Abandoned,
@@ -95,12 +98,28 @@
 	}
 }
 
-// update sets the metrics that are counted elsewhere. connects and dropped are
-// totals. It must be called by one goroutine only.
-func (c *counters) update(version int64, age clock.Duration, connects, dropped int64) {
-	c.configVersion.Update(float64(version))
-	c.viewAge.Update(float64(age))
-	c.connectionsOpened.Inc(connects - c.lastConnects)
-	c.linesDropped.Inc(dropped - c.lastDropped)
-	c.lastConnects, c.lastDropped = connects, dropped
+// gauges are the values of the metrics that are not counted by request.
+type gauges struct {
+	configVersion     routing.Version
+	viewAge           clock.Duration
+	targetsLimited    int
+	isolated          bool
+	connectionsOpened int64 // in total
+	linesDropped      int64 // in total
+}
+
+// update sets the metrics that are not counted by request. It must be called by one
+// goroutine only.
+func (c *counters) update(v gauges) {
+	c.configVersion.Update(float64(v.configVersion))
+	c.viewAge.Update(float64(v.viewAge))
+	c.targetsLimited.Update(float64(v.targetsLimited))
+	isolated := 0.0
+	if v.isolated {
+		isolated = 1
+	}
+	c.isolated.Update(isolated)
+	c.connectionsOpened.Inc(v.connectionsOpened - c.lastConnects)
+	c.linesDropped.Inc(v.linesDropped - c.lastDropped)
+	c.lastConnects, c.lastDropped = v.connectionsOpened, v.linesDropped
 }
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/replica"
+)
+
+// Timing of the probes that show whether the instance reaches targets.
+const (
+	reachProbeTimeout = 150 * clock.Millisecond // a reachable target accepts a connection within a few round trips
+	reachProbePeriod  = 500 * clock.Millisecond // between two probes of an isolated instance
+)
+
+// startProbe makes a probe if one is due. mu must be held.
+func (g *Gateway) startProbe() {
+	if g.targets.TakeProbe() {
+		go g.probeUntilReached()
+	}
+}
+
+// probeUntilReached makes probes until one reaches a target or the instance stops.
+func (g *Gateway) probeUntilReached() {
+	for g.probe() {
+		select {
+		case <-g.draining:
+			return
+		case <-time.After(g.jitter(reachProbePeriod).Std()):
+		}
+	}
+}
+
+// probe makes one probe and reports whether the instance is isolated.
+func (g *Gateway) probe() (isolated bool) {
+	targets := g.probeTargets()
+	ctx, cancel := context.WithTimeout(context.Background(), reachProbeTimeout.Std())
+	defer cancel()
+	var reached atomic.Int64
+	var wait sync.WaitGroup
+	for _, t := range targets {
+		wait.Go(func() {
+			if g.pool.Connect(ctx, t.ID, t.Address) == nil {
+				reached.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return g.probed(len(targets), int(reached.Load()))
+}
+
+func (g *Gateway) probeTargets() []replica.Listing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets.ProbeTargets()
+}
+
+// probed notes the end of a probe that tried to reach a number of targets, and reports
+// whether the instance is isolated.
+func (g *Gateway) probed(tried, reached int) (isolated bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := g.targets.Probed(reached, g.clock.Now())
+	isolated = g.targets.Isolated()
+	switch {
+	case changed && isolated:
+		g.log.Warn("no target can be reached", "tried", tried)
+	case changed:
+		g.log.Info("targets can be reached again", "tried", tried, "reached", reached)
+	}
+	return isolated
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -281,6 +281,7 @@
 		g.log.Info("target's limit of requests changed", "service", s.Service, "target", id, "limit", res.Limit.Kind, "perSecond", float64(res.Limit.Rate))
 	}
 	q.launch(q.call.Done(s.Attempt, res.Outcome, now))
+	g.startProbe()
 	q.wakeIfDue(now)
 }
 
@@ -335,6 +336,7 @@
 	now = g.clock.Now()
 	if q.state == fanout.Open {
 		q.launch(q.call.Tick(now))
+		g.startProbe()
 		q.state = q.call.State(now)
 		q.next = q.call.Next()
 	}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -144,13 +144,18 @@
 	}
 }
 
-// RefusesConnections opens a connection to the target and adds it to the idle ones. It
-// reports whether the target's address refuses connections, as it does after a crash.
+// RefusesConnections reports whether the target's address refuses connections, as it
+// does after a crash.
 func (p *Pool) RefusesConnections(ctx context.Context, id topology.TargetID, address string) bool {
+	return errors.Is(p.Connect(ctx, id, address), syscall.ECONNREFUSED)
+}
+
+// Connect opens a connection to the target and adds it to the idle ones.
+func (p *Pool) Connect(ctx context.Context, id topology.TargetID, address string) error {
 	c, err := p.dial(ctx, id, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	p.putIdle(c)
-	return false
+	return nil
 }
