--- a/core/replica/probe.go
+++ b/core/replica/probe.go
@@ -19,7 +19,7 @@
 // ProbeTargets returns the targets of a probe: random ones, those whose latest
 // connection failed only if there are too few others.
 func (s *Set) ProbeTargets() []Listing {
-	var sound, failing []Listing
+	var all, failing []Listing
 	for _, list := range s.services {
 		for _, t := range list {
 			switch {
@@ -27,13 +27,13 @@
 			case t.failures > 0:
 				failing = append(failing, t.Listing)
 			default:
-				sound = append(sound, t.Listing)
+				all = append(all, t.Listing)
 			}
 		}
 	}
-	s.shuffle(sound)
+	s.shuffle(all)
 	s.shuffle(failing)
-	all := append(sound, failing...)
+	all = append(all, failing...)
 	return all[:min(reach.ProbeSize, len(all))]
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,11 @@
 	return func(g *Gateway) { g.droppedLines = dropped }
 }
 
+// WithTargetDial sets the function that opens connections to targets.
+func WithTargetDial(dial upstream.DialFunc) Option {
+	return func(g *Gateway) { g.pool = upstream.NewPool(g.clock, upstream.WithDial(dial)) }
+}
+
 // New returns a Gateway with the settings. Serve runs it.
 func New(s settings.Gateway, c clock.Clock, logger *log.Logger, opts ...Option) *Gateway {
 	g := &Gateway{
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -88,8 +88,8 @@
 }
 
 // start starts an instance and waits until it is ready.
-func (env *testEnv) start(change func(*settings.Gateway)) *instance {
-	in := env.launch(env.newSettings(change))
+func (env *testEnv) start(change func(*settings.Gateway), opts ...gateway.Option) *instance {
+	in := env.launch(env.newSettings(change), opts...)
 	env.eventually("the instance is ready", func() bool { return in.ready() })
 	return in
 }
@@ -113,10 +113,10 @@
 }
 
 // launch starts an instance with the settings.
-func (env *testEnv) launch(s settings.Gateway) *instance {
+func (env *testEnv) launch(s settings.Gateway, opts ...gateway.Option) *instance {
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{settings: s, stop: stop, served: make(chan error, 1)}
-	g := gateway.New(s, osclock.New(), env.logger.With("instance", string(s.Instance)))
+	g := gateway.New(s, osclock.New(), env.logger.With("instance", string(s.Instance)), opts...)
 	go func() { in.served <- g.Serve(ctx) }()
 	env.t.Cleanup(stop)
 	return in
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -9,12 +9,14 @@
 	"knapweedstall/core/topology"
 )
 
-// dial opens a connection. Both ctx and the dialer's timeout bound it.
+// dial opens a connection. Both ctx and dialTimeout bound it.
 func (p *Pool) dial(ctx context.Context, id topology.TargetID, address string) (*conn, error) {
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	nc, err := p.dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Std())
+	defer cancel()
+	nc, err := p.dialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -44,21 +44,33 @@
 // Pool keeps idle connections to targets. It keeps no more of them than were in use
 // at the same time.
 type Pool struct {
-	clock  clock.Clock
-	dialer net.Dialer
-	large  reservation // of the bodies that are being read
+	clock       clock.Clock
+	dialContext DialFunc
+	large       reservation // of the bodies that are being read
 
 	mu     sync.Mutex
 	idle   map[topology.TargetID][]*conn // most recently used last
 	opened int64
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithDial sets the function that opens connections. ctx ends after the time that
+// opening one may take.
+func WithDial(dial DialFunc) Option { return func(p *Pool) { p.dialContext = dial } }
+
 // NewPool returns an empty Pool.
-func NewPool(c clock.Clock) *Pool {
-	return &Pool{
-		clock: c, idle: map[topology.TargetID][]*conn{},
-		dialer: net.Dialer{Timeout: dialTimeout.Std(), KeepAliveConfig: targetKeepAlive},
+func NewPool(c clock.Clock, opts ...Option) *Pool {
+	dialer := net.Dialer{KeepAliveConfig: targetKeepAlive}
+	p := &Pool{clock: c, dialContext: dialer.DialContext, idle: map[topology.TargetID][]*conn{}}
+	for _, o := range opts {
+		o(p)
 	}
+	return p
 }
 
 // Opened returns the number of attempts so far to open a connection.
