Name what instances send each other requests, not searches

Preparation, no change of behaviour: an instance that is isolated from the targets has requests of all kinds to hand over. Two tags that nothing reads are removed.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -90,9 +90,9 @@
 }
 
 // delegateMessage returns the message that asks another instance to run the search.
-func (q *request) delegateMessage(table *routing.Table) delegate.Search {
+func (q *request) delegateMessage(table *routing.Table) delegate.Request {
 	now := q.g.clock.Now()
-	s := delegate.Search{
+	s := delegate.Request{
 		Version: int64(table.Config.Version), Route: string(q.route.Name), RequestID: q.out.ID, Method: q.out.Method,
 		Head: q.out.Head, Body: q.out.Body, Fingerprint: q.fingerprint, Remaining: q.params.Deadline.Sub(now) - answerMargin,
 	}
@@ -127,7 +127,7 @@
 	q.g.recordDelegated(q, runner, state, a.Missing)
 	switch state {
 	case fanout.Complete, fanout.Partial:
-		writeSearch(w, a.Records, a.Digests, a.Missing)
+		writeSearch(w, a.Body, a.Digests, a.Missing)
 	case fanout.TimedOut:
 		w.WriteHeader(http.StatusGatewayTimeout)
 	case fanout.Refused, fanout.Expired:
@@ -139,7 +139,7 @@
 
 // runSearch runs a search for another instance until ctx is done. A panic fails only
 // this search.
-func (g *Gateway) runSearch(ctx context.Context, s delegate.Search) (answer delegate.Answer) {
+func (g *Gateway) runDelegated(ctx context.Context, s delegate.Request) (answer delegate.Answer) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			g.logPanic(s.RequestID, cause)
@@ -168,7 +168,7 @@
 	g.record(q)
 	a := delegate.Answer{State: string(q.state)}
 	if q.state == fanout.Complete || q.state == fanout.Partial {
-		a.Records, a.Digests = q.merge()
+		a.Body, a.Digests = q.merge()
 		a.Missing = len(q.services) - len(a.Digests)
 	}
 	return a
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,7 +109,7 @@
 		entries:      map[string]parsedInstance{},
 	}
 	g.views = newViews(c, g.apply)
-	g.delegated = delegate.NewServer(g.runSearch)
+	g.delegated = delegate.NewServer(g.runDelegated)
 	g.self = placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity}
 	g.chooser = source.New(g.self)
 	g.placing = placing.NewSet(g.self, g.random)
--- a/gateway/panics_test.go
+++ b/gateway/panics_test.go
@@ -48,7 +48,7 @@
 	if got := g.openRequests(); got != 0 {
 		t.Errorf("%d requests count as open after their panics, want 0", got)
 	}
-	answer := g.runSearch(t.Context(), delegate.Search{Version: 1, Route: "search", RequestID: "1", Remaining: 100})
+	answer := g.runDelegated(t.Context(), delegate.Request{Version: 1, Route: "search", RequestID: "1", Remaining: 100})
 	if answer.State != string(fanout.Failure) {
 		t.Errorf("state %q of a delegated search, want %q", answer.State, fanout.Failure)
 	}
--- a/io/delegate/client.go
+++ b/io/delegate/client.go
@@ -18,7 +18,7 @@
 	pingTimeout = 100 * clock.Millisecond
 )
 
-// Client sends searches to other instances. It keeps a link to each instance that it
+// Client sends requests to other instances. It keeps a link to each instance that it
 // has sent one to.
 type Client struct {
 	mu    sync.Mutex
@@ -36,37 +36,37 @@
 	dialErr error // why the connection could not be opened
 
 	mu         sync.Mutex
-	lastNumber uint64                 // of the latest search
-	waiting    map[uint64]chan Answer // of the searches without an answer, by number
+	lastNumber uint64                 // of the latest request
+	waiting    map[uint64]chan Answer // of the requests without an answer, by number
 	closeErr   error                  // why the link was closed; nil while it is open
-	draining   bool                   // the instance accepts no more searches
+	draining   bool                   // the instance accepts no more requests
 }
 
-// Do sends a search to the instance at address and waits for its answer. It pings the
+// Do sends a request to the instance at address and waits for its answer. It pings the
 // instance after each livenessTimeout without an answer. Do fails with *NotSentError
-// when the search has not reached the instance, with *LinkError when the link broke and
-// the search may have reached it, and with ctx's error when ctx is done.
-func (c *Client) Do(ctx context.Context, address string, s Search, livenessTimeout clock.Duration) (Answer, error) {
+// when the request has not reached the instance, with *LinkError when the link broke and
+// the request may have reached it, and with ctx's error when ctx is done.
+func (c *Client) Do(ctx context.Context, address string, r Request, livenessTimeout clock.Duration) (Answer, error) {
 	l := c.linkTo(address)
 	select {
 	case <-l.ready:
 	case <-ctx.Done():
 		return Answer{}, errors.WithStack(&NotSentError{address, ctx.Err()})
 	}
-	number, answers, err := l.addSearch()
+	number, answers, err := l.addRequest()
 	if err != nil {
 		c.removeLink(l)
 		return Answer{}, errors.WithStack(&NotSentError{address, err})
 	}
-	defer l.removeSearch(number)
-	if err := send(context.WithoutCancel(ctx), l.conn, message{Number: number, Search: &s}); err != nil {
+	defer l.removeRequest(number)
+	if err := send(context.WithoutCancel(ctx), l.conn, message{Number: number, Request: &r}); err != nil {
 		c.closeLink(l, err)
 		return Answer{}, errors.WithStack(&LinkError{address, err})
 	}
 	return c.await(ctx, l, number, answers, livenessTimeout)
 }
 
-// await waits for the answer to a search on l and pings the instance after each
+// await waits for the answer to a request on l and pings the instance after each
 // livenessTimeout.
 func (c *Client) await(ctx context.Context, l *link, number uint64, answers <-chan Answer, livenessTimeout clock.Duration) (Answer, error) {
 	liveness := time.NewTimer(livenessTimeout.Std())
@@ -79,7 +79,7 @@
 			}
 			return a, nil
 		case <-ctx.Done():
-			_ = send(context.WithoutCancel(ctx), l.conn, message{Number: number, Cancel: true}) // a broken link cancels the search too
+			_ = send(context.WithoutCancel(ctx), l.conn, message{Number: number, Cancel: true}) // a broken link cancels the request too
 			return Answer{}, errors.WithStack(ctx.Err())
 		case <-liveness.C:
 			if err := l.ping(ctx); err != nil && ctx.Err() == nil {
@@ -121,7 +121,7 @@
 	c.readAnswers(l)
 }
 
-// readAnswers passes answers to the searches waiting for them until the link ends.
+// readAnswers passes answers to the requests waiting for them until the link ends.
 func (c *Client) readAnswers(l *link) {
 	for {
 		_, data, err := l.conn.Read(context.Background())
@@ -137,7 +137,7 @@
 	}
 }
 
-// closeLink closes l, so that all searches on it fail with cause.
+// closeLink closes l, so that all requests on it fail with cause.
 func (c *Client) closeLink(l *link, cause error) {
 	c.removeLink(l)
 	_ = l.conn.CloseNow() // the cause is reported instead
@@ -153,7 +153,7 @@
 	clear(l.waiting) // a message that was read before must not be sent to a closed channel
 }
 
-// removeLink removes l from the client, so that the next search opens a new link.
+// removeLink removes l from the client, so that the next request opens a new link.
 func (c *Client) removeLink(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,9 +162,9 @@
 	}
 }
 
-// addSearch adds a search to the link. It returns its number and the channel that gets
+// addRequest adds a request to the link. It returns its number and the channel that gets
 // the answer, which is closed when the link ends.
-func (l *link) addSearch() (uint64, <-chan Answer, error) {
+func (l *link) addRequest() (uint64, <-chan Answer, error) {
 	if l.dialErr != nil {
 		return 0, nil, l.dialErr
 	}
@@ -182,8 +182,8 @@
 	return l.lastNumber, answers, nil
 }
 
-// removeSearch removes a search that needs no answer any more.
-func (l *link) removeSearch(number uint64) {
+// removeRequest removes a request that needs no answer any more.
+func (l *link) removeRequest(number uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.waiting, number)
@@ -208,8 +208,8 @@
 	return l.conn.Ping(ctx)
 }
 
-// DrainingError reports that an instance accepts no more searches.
+// DrainingError reports that an instance accepts no more requests.
 type DrainingError struct{}
 
 // Error implements error.
-func (*DrainingError) Error() string { return "the instance accepts no more searches" }
+func (*DrainingError) Error() string { return "the instance accepts no more requests" }
--- a/io/delegate/delegate.go
+++ b/io/delegate/delegate.go
@@ -1,5 +1,5 @@
-// Package delegate sends searches from one instance to another over WebSocket, encoded
-// as CBOR. A link is a connection that carries many searches at the same time.
+// Package delegate sends requests from one instance to another over WebSocket, encoded
+// as CBOR. A link is a connection that carries many requests at the same time.
 package delegate
 
 import (
@@ -10,45 +10,45 @@
 	"knapweedstall/core/poison"
 )
 
-// Path is the URL path on which an instance accepts searches.
+// Path is the URL path on which an instance accepts requests of other instances.
 const Path = "/v1/searches"
 
 // maxFrameBytes bounds the size of a message. An answer holds at most topK records and
 // one digest per shard.
 const maxFrameBytes = 4 << 20
 
-// Search is a search that another instance is asked to run.
-type Search struct {
+// Request is a request that another instance is asked to run.
+type Request struct {
 	Version      int64          `cbor:"1,keyasint"` // of the configuration that selected the route
 	Route        string         `cbor:"2,keyasint"`
 	RequestID    string         `cbor:"3,keyasint"` // set by the caller
 	Method       string         `cbor:"4,keyasint"`
 	Head         []byte         `cbor:"5,keyasint"` // request line and headers for the targets
 	Body         []byte         `cbor:"6,keyasint"`
-	Remaining    clock.Duration `cbor:"7,keyasint"`              // time until the search is given up
-	PartialAfter clock.Duration `cbor:"8,keyasint" json:"Early"` // time until a partial answer is sent, without the shards that are still missing
+	Remaining    clock.Duration `cbor:"7,keyasint"` // time until the request is given up
+	PartialAfter clock.Duration `cbor:"8,keyasint"` // time until a partial answer to a search is sent, without the shards that are still missing
 	// Fingerprint is that of the caller's request. A retry by the caller has the same
 	// fingerprint, but another Head, since Head contains the request's id.
 	Fingerprint poison.Fingerprint `cbor:"10,keyasint"`
 }
 
-// Answer is the result of a search.
+// Answer is the result of a request.
 type Answer struct {
-	Declined bool     `cbor:"1,keyasint"` // the instance did not run the search
-	State    string   `cbor:"2,keyasint"` // final state of the search
-	Records  []byte   `cbor:"3,keyasint"` // in descending order
-	Digests  []string `cbor:"4,keyasint"` // of the shards' answers that Records is merged from
+	Declined bool     `cbor:"1,keyasint"` // the instance did not run the request
+	State    string   `cbor:"2,keyasint"` // final state of the request
+	Body     []byte   `cbor:"3,keyasint"` // of a search, the greatest records in descending order
+	Digests  []string `cbor:"4,keyasint"` // of the shards' answers that Body is merged from
 	Missing  int      `cbor:"5,keyasint"` // number of shards that are not included
 }
 
-// message is a message on a link. A message to the instance that runs the searches has
-// Search or Cancel set, a message from it has Answer or Drain set.
+// message is a message on a link. A message to the instance that runs the requests has
+// Request or Cancel set, a message from it has Answer or Drain set.
 type message struct {
-	Number uint64  `cbor:"1,keyasint"` // number of the search, unique within the link
-	Search *Search `cbor:"2,keyasint,omitempty"`
-	Answer *Answer `cbor:"3,keyasint,omitempty"`
-	Cancel bool    `cbor:"4,keyasint,omitempty"`              // the search is canceled
-	Drain  bool    `cbor:"5,keyasint,omitempty" json:"Leave"` // the instance accepts no more searches
+	Number  uint64   `cbor:"1,keyasint"` // number of the request, unique within the link
+	Request *Request `cbor:"2,keyasint,omitempty"`
+	Answer  *Answer  `cbor:"3,keyasint,omitempty"`
+	Cancel  bool     `cbor:"4,keyasint,omitempty"` // the request is canceled
+	Drain   bool     `cbor:"5,keyasint,omitempty"` // the instance accepts no more requests
 }
 
 func encode(m message) ([]byte, error) {
@@ -63,7 +63,7 @@
 }
 
 // LinkError reports that a link broke before the answer arrived, so that the other
-// instance may have run the search.
+// instance may have run the request.
 type LinkError struct {
 	Address string
 	Cause   error
@@ -75,18 +75,18 @@
 // Unwrap returns the cause.
 func (e *LinkError) Unwrap() error { return e.Cause }
 
-// NotSentError reports that a search did not reach the other instance.
+// NotSentError reports that a request did not reach the other instance.
 type NotSentError struct {
 	Address string
-	Cause   error // nil when the instance accepts no more searches
+	Cause   error // nil when the instance accepts no more requests
 }
 
 // Error implements error.
 func (e *NotSentError) Error() string {
 	if e.Cause == nil {
-		return "instance " + e.Address + " accepts no more searches"
+		return "instance " + e.Address + " accepts no more requests"
 	}
-	return "search not sent to " + e.Address + ": " + e.Cause.Error()
+	return "request not sent to " + e.Address + ": " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
--- a/io/delegate/delegate_test.go
+++ b/io/delegate/delegate_test.go
@@ -29,14 +29,14 @@
 }
 
 // echoID answers with the request's id.
-func echoID(_ context.Context, s delegate.Search) delegate.Answer {
-	return delegate.Answer{State: "complete", Records: []byte(s.RequestID), Digests: []string{"d"}, Missing: 2}
+func echoID(_ context.Context, s delegate.Request) delegate.Answer {
+	return delegate.Answer{State: "complete", Body: []byte(s.RequestID), Digests: []string{"d"}, Missing: 2}
 }
 
 // TestAnswersDoNotMix guards against a search getting the answer to another search of
 // the same link.
 func TestAnswersDoNotMix(t *testing.T) {
-	_, _, address := serve(t, func(ctx context.Context, s delegate.Search) delegate.Answer {
+	_, _, address := serve(t, func(ctx context.Context, s delegate.Request) delegate.Answer {
 		if s.RequestID == "slow" {
 			time.Sleep(80 * time.Millisecond) // longer than livenessTimeout
 		}
@@ -45,19 +45,19 @@
 	c := delegate.NewClient()
 	slow := make(chan string)
 	go func() {
-		a, err := c.Do(context.Background(), address, delegate.Search{RequestID: "slow"}, livenessTimeout)
+		a, err := c.Do(context.Background(), address, delegate.Request{RequestID: "slow"}, livenessTimeout)
 		if err != nil {
 			slow <- err.Error()
 			return
 		}
-		slow <- string(a.Records)
+		slow <- string(a.Body)
 	}()
 	for _, id := range []string{"1", "2", "3"} {
-		a, err := c.Do(t.Context(), address, delegate.Search{RequestID: id}, livenessTimeout)
+		a, err := c.Do(t.Context(), address, delegate.Request{RequestID: id}, livenessTimeout)
 		if err != nil {
 			t.Fatal(err)
 		}
-		want := delegate.Answer{State: "complete", Records: []byte(id), Digests: []string{"d"}, Missing: 2}
+		want := delegate.Answer{State: "complete", Body: []byte(id), Digests: []string{"d"}, Missing: 2}
 		if diff := cmp.Diff(want, a); diff != "" {
 			t.Errorf("answer (-want +got):\n%s", diff)
 		}
@@ -71,14 +71,14 @@
 // after the caller has canceled it.
 func TestCancelStopsDelegatedSearch(t *testing.T) {
 	ended := make(chan struct{})
-	_, _, address := serve(t, func(ctx context.Context, _ delegate.Search) delegate.Answer {
+	_, _, address := serve(t, func(ctx context.Context, _ delegate.Request) delegate.Answer {
 		<-ctx.Done()
 		close(ended)
 		return delegate.Answer{}
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	if _, err := delegate.NewClient().Do(ctx, address, delegate.Search{}, livenessTimeout); !errors.Is(err, context.Canceled) {
+	if _, err := delegate.NewClient().Do(ctx, address, delegate.Request{}, livenessTimeout); !errors.Is(err, context.Canceled) {
 		t.Errorf("error %v, want canceled", err)
 	}
 	select {
@@ -93,20 +93,20 @@
 // run.
 func TestLostInstance(t *testing.T) {
 	t.Run("refuses connections", func(t *testing.T) {
-		_, err := delegate.NewClient().Do(t.Context(), "127.0.0.1:1", delegate.Search{}, livenessTimeout)
+		_, err := delegate.NewClient().Do(t.Context(), "127.0.0.1:1", delegate.Request{}, livenessTimeout)
 		var want *delegate.NotSentError
 		if !errors.As(err, &want) {
 			t.Errorf("error %v, want that it was not sent", err)
 		}
 	})
 	t.Run("resets the link", func(t *testing.T) {
-		_, _, target := serve(t, func(ctx context.Context, _ delegate.Search) delegate.Answer {
+		_, _, target := serve(t, func(ctx context.Context, _ delegate.Request) delegate.Answer {
 			<-ctx.Done()
 			return delegate.Answer{}
 		})
 		address, closeProxy := startProxy(t, target, true)
 		time.AfterFunc(50*time.Millisecond, closeProxy)
-		_, err := delegate.NewClient().Do(t.Context(), address, delegate.Search{}, 10*clock.Second)
+		_, err := delegate.NewClient().Do(t.Context(), address, delegate.Request{}, 10*clock.Second)
 		var want *delegate.LinkError
 		if !errors.As(err, &want) {
 			t.Errorf("error %v, want a broken link", err)
@@ -116,7 +116,7 @@
 		_, _, target := serve(t, echoID)
 		address, _ := startProxy(t, target, false)
 		started := time.Now()
-		_, err := delegate.NewClient().Do(t.Context(), address, delegate.Search{}, livenessTimeout)
+		_, err := delegate.NewClient().Do(t.Context(), address, delegate.Request{}, livenessTimeout)
 		var want *delegate.LinkError
 		if !errors.As(err, &want) {
 			t.Errorf("error %v, want a broken link", err)
@@ -173,7 +173,7 @@
 // down, and against losing searches that it has accepted.
 func TestDrainingInstance(t *testing.T) {
 	release := make(chan struct{})
-	s, _, address := serve(t, func(ctx context.Context, q delegate.Search) delegate.Answer {
+	s, _, address := serve(t, func(ctx context.Context, q delegate.Request) delegate.Answer {
 		if q.RequestID == "first" {
 			<-release
 		}
@@ -182,13 +182,13 @@
 	c := delegate.NewClient()
 	first := make(chan error)
 	go func() {
-		_, err := c.Do(context.Background(), address, delegate.Search{RequestID: "first"}, 10*clock.Second)
+		_, err := c.Do(context.Background(), address, delegate.Request{RequestID: "first"}, 10*clock.Second)
 		first <- err
 	}()
 	time.Sleep(50 * time.Millisecond)
 	s.Drain(t.Context())
 	time.Sleep(50 * time.Millisecond)
-	_, err := c.Do(t.Context(), address, delegate.Search{RequestID: "second"}, livenessTimeout)
+	_, err := c.Do(t.Context(), address, delegate.Request{RequestID: "second"}, livenessTimeout)
 	var want *delegate.NotSentError
 	if !errors.As(err, &want) {
 		t.Errorf("error %v, want that it was not sent", err)
--- a/io/delegate/fuzz_test.go
+++ b/io/delegate/fuzz_test.go
@@ -4,7 +4,7 @@
 
 // FuzzDecode guards against a message of another instance that ends the process.
 func FuzzDecode(f *testing.F) {
-	for _, m := range []message{{Number: 1, Search: &Search{Route: "r", Head: []byte("GET")}}, {Number: 2, Answer: &Answer{Digests: []string{"d"}}}, {Drain: true}} {
+	for _, m := range []message{{Number: 1, Request: &Request{Route: "r", Head: []byte("GET")}}, {Number: 2, Answer: &Answer{Digests: []string{"d"}}}, {Drain: true}} {
 		data, err := encode(m)
 		if err != nil {
 			f.Fatal(err)
--- a/io/delegate/link_test.go
+++ b/io/delegate/link_test.go
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	l := &link{conn: conn, waiting: map[uint64]chan Answer{}}
-	number, answers, err := l.addSearch()
+	number, answers, err := l.addRequest()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/delegate/server.go
+++ b/io/delegate/server.go
@@ -14,10 +14,10 @@
 // disconnected.
 const writeTimeout = clock.Second
 
-// RunFunc runs a search until ctx is done.
-type RunFunc func(ctx context.Context, s Search) Answer
+// RunFunc runs a request until ctx is done.
+type RunFunc func(ctx context.Context, r Request) Answer
 
-// Server accepts searches from other instances.
+// Server accepts requests from other instances.
 type Server struct {
 	run RunFunc
 
@@ -26,13 +26,13 @@
 	draining bool
 }
 
-// NewServer returns a Server that runs searches with run.
+// NewServer returns a Server that runs requests with run.
 func NewServer(run RunFunc) *Server {
 	return &Server{run: run, links: map[*websocket.Conn]bool{}}
 }
 
 // Drain tells all connected instances, and those that connect later, to send no more
-// searches. Running searches continue.
+// requests. Running requests continue.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
@@ -69,7 +69,7 @@
 	s.serve(r.Context(), c)
 }
 
-// serve runs the searches of one link until the link ends.
+// serve runs the requests of one link until the link ends.
 func (s *Server) serve(ctx context.Context, c *websocket.Conn) {
 	ctx, cancelAll := context.WithCancel(ctx)
 	defer cancelAll()
@@ -88,21 +88,21 @@
 		if cancel := running[m.Number]; m.Cancel && cancel != nil {
 			cancel()
 		}
-		if m.Search == nil {
+		if m.Request == nil {
 			mu.Unlock()
 			continue
 		}
-		searchCtx, cancel := context.WithCancel(ctx)
+		requestCtx, cancel := context.WithCancel(ctx)
 		running[m.Number] = cancel
 		mu.Unlock()
 		go func() {
-			answer := s.run(searchCtx, *m.Search)
+			answer := s.run(requestCtx, *m.Request)
 			mu.Lock()
 			delete(running, m.Number)
 			mu.Unlock()
 			cancel()
 			if send(ctx, c, message{Number: m.Number, Answer: &answer}) != nil {
-				_ = c.CloseNow() // the other instance runs the search again
+				_ = c.CloseNow() // the other instance runs the request again
 			}
 		}()
 	}
