Have other instances run the requests of one that reaches no target

Callers of instances that had lost their links to the targets were refused, or got 502 and 504; their retries reached other instances only by chance.

Cause: an instance took each failed connection for a failure of the target. Delegation existed for searches, to save time, and went to isolated instances too. Readiness was left alone: with most of a zone cut off, the balancer uses instances that are not ready as well.

Requests in progress that may be repeated move too. A request that may run only once moves only if it was not sent.

TestRequestsInProgressMoveToOthers fails without the move (504). It also failed once in its first runs: an answer in the same millisecond as a send counted as one to it, and a probe that fell into the backoff of the one before was left out. Both are mended, and it passes 30 times in a row.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -24,7 +24,7 @@
 	Pick(name routing.ServiceName, svc *routing.Service, excluded []topology.TargetID, purpose replica.Purpose, now clock.Time) replica.Choice
 	Undo(t *replica.Target) // a send that Pick has counted was not made
 	// MarkOverdue notes that a send to t has no outcome after Latency.HedgeDelay.
-	MarkOverdue(t *replica.Target, sent, now clock.Time)
+	MarkOverdue(t *replica.Target, sent clock.Time)
 	Done(t *replica.Target, r replica.Result, now clock.Time)
 }
 
@@ -154,8 +154,8 @@
 // enough reports whether n shards are enough for an answer.
 func (c *Call) enough(n int) bool { return n > 0 && n >= c.required() }
 
-// mayHaveRun reports whether a target may have run the request.
-func (c *Call) mayHaveRun() bool {
+// MayHaveRun reports whether a target may have run the request.
+func (c *Call) MayHaveRun() bool {
 	return c.params.AlreadySent || slices.ContainsFunc(c.shards, func(s shard) bool { return s.ran > 0 })
 }
 
@@ -334,7 +334,7 @@
 	for n := range c.attempts {
 		if a := &c.attempts[n]; a.shard == i && !a.ended && !a.overdue {
 			a.overdue = true
-			c.targets.MarkOverdue(a.target, a.started, now)
+			c.targets.MarkOverdue(a.target, a.started)
 		}
 	}
 	if c.params.Kind == routing.Idempotent && c.mayRepeat(s, false) {
@@ -381,13 +381,13 @@
 		return Partial
 	case enough && c.params.PartialAt != 0 && !now.Before(c.params.PartialAt):
 		return Partial
-	case !c.enough(answerable) && !c.mayHaveRun():
+	case !c.enough(answerable) && !c.MayHaveRun():
 		return Refused
 	case !c.enough(answerable):
 		return Failure
 	case now.Before(c.params.Deadline):
 		return Open
-	case c.mayHaveRun():
+	case c.MayHaveRun():
 		return TimedOut
 	default:
 		return Expired
--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -2,10 +2,12 @@
 // from the caller, or another one. A search takes processor time for each shard, so
 // a small instance delegates it to a larger one. An instance in a zone without
 // targets of the shards delegates it to one whose zone has them, so that one merged
-// answer crosses zones instead of the answers of all shards.
+// answer crosses zones instead of the answers of all shards. The package also selects
+// the instance that runs a request which the one that received it can't run.
 package placing
 
 import (
+	"math"
 	"math/rand/v2"
 
 	"knapweedstall/core/clock"
@@ -53,8 +55,8 @@
 // seen by this instance. This instance runs searches too but is not a Runner.
 type Runner struct {
 	Instance
-	inFlight  int // searches that this instance has delegated to it and that have not ended
-	failures  int // consecutive delegated searches that it did not answer
+	inFlight  int // requests that this instance has delegated to it and that have not ended
+	failures  int // consecutive delegated requests that it did not answer
 	downUntil clock.Time
 }
 
@@ -100,7 +102,20 @@
 // its load until Done.
 func (s *Set) Place(shards int, coverage ZoneCoverage, now clock.Time) *Runner {
 	local := s.cost(s.self, s.localRequests, shards, coverage)
-	best, limit := (*Runner)(nil), min(local-minSaving, maxCostRatio*local)
+	return s.cheapest(shards, coverage, min(local-minSaving, maxCostRatio*local), now)
+}
+
+// PlaceElsewhere returns the other instance that should run a request which this one
+// can't run, or nil if there is none. The request goes to a number of services, and
+// counts as the load of the instance until Done.
+func (s *Set) PlaceElsewhere(services int, coverage ZoneCoverage, now clock.Time) *Runner {
+	return s.cheapest(services, coverage, math.Inf(1), now)
+}
+
+// cheapest returns the runner with the lowest cost, which counts the request as its
+// load, or nil if that of each one is above limit.
+func (s *Set) cheapest(shards int, coverage ZoneCoverage, limit float64, now clock.Time) *Runner {
+	best := (*Runner)(nil)
 	bestCost, equals := 0.0, 0
 	for _, r := range s.list {
 		if now.Before(r.downUntil) {
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// TestPlaceElsewhere guards against a request that stays at an instance which can't run
+// it, and against one that goes to an instance which has just declined it.
+func TestPlaceElsewhere(t *testing.T) {
+	s := newSet(instance("self", "z1", 0.8), instance("near", "z1", 0.1), instance("far", "z2", 0.1))
+	var got []topology.InstanceID
+	for range 3 {
+		r := s.PlaceElsewhere(1, everywhere, 10)
+		if r == nil {
+			got = append(got, "none")
+			continue
+		}
+		got = append(got, r.ID)
+		s.Done(r, true, 10)
+	}
+	if diff := cmp.Diff([]topology.InstanceID{"near", "far", "none"}, got); diff != "" {
+		t.Errorf("runners (-want +got):\n%s", diff)
+	}
+}
+
 // TestFailedRunner checks that an instance that has just failed gets no searches,
 // and that it gets them again after the backoff.
 func TestFailedRunner(t *testing.T) {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -22,7 +22,7 @@
 	minSilence = 100 * clock.Millisecond
 	// probeBackoff is the time after a probe that reached a target until another one
 	// may follow.
-	probeBackoff = clock.Second
+	probeBackoff = clock.Second / 2
 )
 
 // ProbeSize is the number of targets that a probe tries to reach.
@@ -36,7 +36,7 @@
 	heardAt  clock.Time                 // latest answer of any target
 	failing  map[topology.TargetID]bool // targets whose connections have begun to fail since the last probe that reached a target
 	overdue  map[topology.TargetID]bool // targets with a send that has become overdue since heardAt
-	probing  bool                       // a probe is under way
+	probing  bool                       // a probe is due or under way
 	probeAt  clock.Time                 // earliest time of the next probe
 	isolated bool
 }
@@ -52,41 +52,44 @@
 }
 
 // ConnectFailed notes that the target can't be reached any more. sent is when the send
-// began that needed the connection. It reports whether a probe must be made now.
+// began that needed the connection. It reports whether a probe must be made, at ProbeAt.
 func (m *Monitor) ConnectFailed(id topology.TargetID, sent, now clock.Time) (probe bool) {
 	if m.failing == nil {
 		m.failing = map[topology.TargetID]bool{}
 	}
 	m.failing[id] = true
-	silent := m.heardAt.Before(sent) && now.Sub(sent) >= minSilence
-	return (silent || m.suspicious(len(m.failing))) && m.startProbe(now)
+	silent := !m.HeardSince(sent) && now.Sub(sent) >= minSilence
+	return (silent || m.suspicious(len(m.failing))) && m.startProbe()
 }
 
 // Overdue notes that a send to the target, which began at sent, is overdue. It reports
-// whether a probe must be made now.
-func (m *Monitor) Overdue(id topology.TargetID, sent, now clock.Time) (probe bool) {
-	if !m.heardAt.Before(sent) {
+// whether a probe must be made, at ProbeAt.
+func (m *Monitor) Overdue(id topology.TargetID, sent clock.Time) (probe bool) {
+	if m.HeardSince(sent) {
 		return false
 	}
 	if m.overdue == nil {
 		m.overdue = map[topology.TargetID]bool{}
 	}
 	m.overdue[id] = true
-	return m.suspicious(len(m.overdue)) && m.startProbe(now)
+	return m.suspicious(len(m.overdue)) && m.startProbe()
 }
 
 // suspicious reports whether so many failing targets are reason for a probe.
 func (m *Monitor) suspicious(targets int) bool { return targets >= min(suspectedTargets, m.targets) }
 
-// startProbe reports whether a probe may be made now, and notes that it is under way.
-func (m *Monitor) startProbe(now clock.Time) bool {
-	if m.probing || now.Before(m.probeAt) {
+// startProbe notes that a probe is due. It reports false if one was already.
+func (m *Monitor) startProbe() bool {
+	if m.probing {
 		return false
 	}
 	m.probing = true
 	return true
 }
 
+// ProbeAt returns the earliest time of the next probe.
+func (m *Monitor) ProbeAt() clock.Time { return m.probeAt }
+
 // Probed notes the end of a probe that reached a number of targets. If it reached none,
 // the instance is isolated and the next probe is under way; else the probes end. It
 // reports whether the instance has become isolated or has ceased to be.
@@ -101,5 +104,8 @@
 	return m.isolated != before
 }
 
+// HeardSince reports whether a target has answered since a time.
+func (m *Monitor) HeardSince(t clock.Time) bool { return t.Before(m.heardAt) }
+
 // Isolated reports whether the instance reaches no target.
 func (m *Monitor) Isolated() bool { return m.isolated }
--- a/core/replica/probe.go
+++ b/core/replica/probe.go
@@ -8,12 +8,16 @@
 // Isolated reports whether this instance reaches no target.
 func (s *Set) Isolated() bool { return s.reach.Isolated() }
 
-// TakeProbe reports whether a probe must be made now that shows whether this instance
-// reaches targets. It reports each due probe once; the caller ends it with Probed.
-func (s *Set) TakeProbe() bool {
-	due := s.probeDue
+// HeardSince reports whether a target has answered since a time.
+func (s *Set) HeardSince(t clock.Time) bool { return s.reach.HeardSince(t) }
+
+// TakeProbe reports whether a probe must be made, from the time at on, that shows
+// whether this instance reaches targets. It reports each due probe once; the caller ends
+// it with Probed.
+func (s *Set) TakeProbe() (at clock.Time, due bool) {
+	due = s.probeDue
 	s.probeDue = false
-	return due
+	return s.reach.ProbeAt(), due
 }
 
 // ProbeTargets returns the targets of a probe: random ones, those whose latest
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -281,9 +281,9 @@
 
 // MarkOverdue notes that a send to t, which began at sent, is overdue. The caller also
 // sets Result.Overdue when the send ends.
-func (s *Set) MarkOverdue(t *Target, sent, now clock.Time) {
+func (s *Set) MarkOverdue(t *Target, sent clock.Time) {
 	t.overdue++
-	s.probeDue = s.reach.Overdue(t.ID, sent, now) || s.probeDue
+	s.probeDue = s.reach.Overdue(t.ID, sent) || s.probeDue
 }
 
 // Result describes the end of a send.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,22 +51,25 @@
 	peersChanged chan struct{} // signals that peers has changed; holds one signal
 
 	// mu guards the fields below up to listings.
-	mu            sync.Mutex
-	random        *rand.Rand
-	table         *routing.Table // routing table of the active configuration; nil until one is known
-	targets       *replica.Set
-	budget        *budget.Budget
-	estimates     map[routing.RouteName]*fanout.LatencyEstimate
-	crashes       *poison.Tracker
-	openCount     int                // requests in progress
-	completeCount int                // requests with a complete answer, for sampling log lines
-	peers         []placing.Instance // all registered instances, this one included, in the order of source.Compare
-	chooser       *source.Chooser
-	seeds         []string // peer addresses from the settings
-	placing       *placing.Set
-	zoneCoverage  map[routing.RouteName]map[topology.ZoneID]float64 // share of a route's shards with a target in the zone, computed when needed
-	listings      map[string]parsedListing                          // parsed entries of targets, by name
-	entries       map[string]parsedInstance                         // parsed entries of instances, by name
+	mu        sync.Mutex
+	random    *rand.Rand
+	table     *routing.Table // routing table of the active configuration; nil until one is known
+	targets   *replica.Set
+	budget    *budget.Budget
+	estimates map[routing.RouteName]*fanout.LatencyEstimate
+	crashes   *poison.Tracker
+	// becomingIsolated is closed when the instance becomes isolated, and replaced when
+	// it ceases to be.
+	becomingIsolated chan struct{}
+	openCount        int                // requests in progress
+	completeCount    int                // requests with a complete answer, for sampling log lines
+	peers            []placing.Instance // all registered instances, this one included, in the order of source.Compare
+	chooser          *source.Chooser
+	seeds            []string // peer addresses from the settings
+	placing          *placing.Set
+	zoneCoverage     map[routing.RouteName]map[topology.ZoneID]float64 // share of a route's shards with a target in the zone, computed when needed
+	listings         map[string]parsedListing                          // parsed entries of targets, by name
+	entries          map[string]parsedInstance                         // parsed entries of instances, by name
 
 	metrics      *counters
 	droppedLines func() int64 // number of log lines that were dropped
@@ -93,20 +96,21 @@
 func New(s settings.Gateway, c clock.Clock, logger *log.Logger, opts ...Option) *Gateway {
 	g := &Gateway{
 		settings: s, clock: c, created: c.Now(), log: logger,
-		store:        platform.NewStore(s.Store.Address),
-		pool:         upstream.NewPool(c),
-		draining:     make(chan struct{}),
-		peersChanged: make(chan struct{}, 1),
-		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		crashes:      poison.NewTracker(),
-		zoneCoverage: map[routing.RouteName]map[topology.ZoneID]float64{},
-		delegates:    delegate.NewClient(),
-		metrics:      newCounters(),
-		droppedLines: func() int64 { return 0 },
-		seeds:        s.Peers,
-		estimates:    map[routing.RouteName]*fanout.LatencyEstimate{},
-		listings:     map[string]parsedListing{},
-		entries:      map[string]parsedInstance{},
+		store:            platform.NewStore(s.Store.Address),
+		pool:             upstream.NewPool(c),
+		draining:         make(chan struct{}),
+		peersChanged:     make(chan struct{}, 1),
+		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		crashes:          poison.NewTracker(),
+		becomingIsolated: make(chan struct{}),
+		zoneCoverage:     map[routing.RouteName]map[topology.ZoneID]float64{},
+		delegates:        delegate.NewClient(),
+		metrics:          newCounters(),
+		droppedLines:     func() int64 { return 0 },
+		seeds:            s.Peers,
+		estimates:        map[routing.RouteName]*fanout.LatencyEstimate{},
+		listings:         map[string]parsedListing{},
+		entries:          map[string]parsedInstance{},
 	}
 	g.views = newViews(c, g.apply)
 	g.delegated = delegate.NewServer(g.runDelegated)
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -58,6 +58,29 @@
 	return c.Conn.Write(p)
 }
 
+// TestRequestsInProgressMoveToOthers guards against requests that wait until their
+// deadline for targets from which their instance has been cut off.
+func TestRequestsInProgressMoveToOthers(t *testing.T) {
+	const limit = 900 * time.Millisecond // the request's deadline is 1 s
+	env := newTestEnv(t)
+	cut := &partition{}
+	in := env.start(nil, gateway.WithTargetDial(cut.dial))
+	other := env.start(nil)
+	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == 2 })
+	for range 30 { // so that the budget allows repeats
+		in.do(t, "GET", "/search/before", "")
+		other.do(t, "GET", "/search/before", "")
+	}
+	cut.on.Store(true)
+	started := time.Now()
+	if got := in.do(t, "GET", "/search/1", ""); got.Status != http.StatusOK {
+		t.Errorf("answer %+v, want one of the other instance", got)
+	}
+	if took := time.Since(started); took > limit {
+		t.Errorf("the answer took %v, want at most %v", took, limit)
+	}
+}
+
 // TestIsolatedInstanceServesThroughOthers guards against an instance that is partitioned
 // from all targets and refuses what the other instances could serve, and against a
 // request that runs twice because another instance runs it too.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -52,7 +52,7 @@
 		repeats:           scope.Counter("sends_repeated"),
 		repeatsDenied:     scope.Counter("repeats_denied"),
 		refusals:          scope.Counter("requests_not_sent"),
-		delegated:         scope.Counter("searches_delegated"),
+		delegated:         scope.Counter("requests_delegated"),
 		sourcesLost:       scope.Counter("sources_lost"),
 		connectionsOpened: scope.Counter("target_connections_opened"),
 		linesDropped:      scope.Counter("log_lines_dropped"),
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -18,19 +18,21 @@
 
 // startProbe makes a probe if one is due. mu must be held.
 func (g *Gateway) startProbe() {
-	if g.targets.TakeProbe() {
-		go g.probeUntilReached()
+	if at, due := g.targets.TakeProbe(); due {
+		go g.probeUntilReached(max(at.Sub(g.clock.Now()), 0))
 	}
 }
 
-// probeUntilReached makes probes until one reaches a target or the instance stops.
-func (g *Gateway) probeUntilReached() {
-	for g.probe() {
+// probeUntilReached waits and then makes probes until one reaches a target or the
+// instance stops.
+func (g *Gateway) probeUntilReached(wait clock.Duration) {
+	for isolated := true; isolated; wait = g.jitter(reachProbePeriod) {
 		select {
 		case <-g.draining:
 			return
-		case <-time.After(g.jitter(reachProbePeriod).Std()):
+		case <-time.After(wait.Std()):
 		}
+		isolated = g.probe()
 	}
 }
 
@@ -67,8 +69,10 @@
 	isolated = g.targets.Isolated()
 	switch {
 	case changed && isolated:
+		close(g.becomingIsolated)
 		g.log.Warn("no target can be reached", "tried", tried)
 	case changed:
+		g.becomingIsolated = make(chan struct{})
 		g.log.Info("targets can be reached again", "tried", tried, "reached", reached)
 	}
 	return isolated
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -122,13 +122,15 @@
 	}
 	q := g.newRequest(r, route, body, arrived)
 	q.fingerprint, q.version = fingerprint, table.Config.Version
-	if route.IsSearch() && q.delegate(w, r, table) {
+	if q.delegate(w, r, table) {
 		return
 	}
 	defer q.finish()
 	q.start(table)
 	q.wait(r.Context())
-	q.answer(w)
+	if !q.delegateInstead(w, r, table) {
+		q.answer(w)
+	}
 }
 
 // serveNoRoute answers a request that matches no route.
@@ -199,28 +201,25 @@
 	if route.Timeout > 0 {
 		limit = min(limit, route.Timeout)
 	}
-	if route.IsSearch() {
-		return searchParams(route, arrived, limit, fanout.PartialAnswerDelay(route.LatencyObjective))
-	}
-	return fanout.Params{
-		Kind: route.Kind, Services: services, MaxAttempts: route.MaxAttempts, MinCoverage: 1,
-		Deadline: arrived.Add(limit),
-		SelectBy: arrived.Add(min(limit, clock.Duration(selectShare*float64(route.LatencyObjective)))),
-	}
+	return callParams(route, services, arrived, limit, fanout.PartialAnswerDelay(route.LatencyObjective))
 }
 
-// searchParams returns the parameters of the call for a search that ends after
-// limit. If the route has a latency objective, a partial answer is returned after
-// partialDelay.
-func searchParams(route *routing.Route, now clock.Time, limit, partialDelay clock.Duration) fanout.Params {
+// callParams returns the parameters of the call for a request that ends after limit. If
+// the request is a search and the route has a latency objective, a partial answer is
+// returned after partialDelay.
+func callParams(route *routing.Route, services []routing.ServiceName, now clock.Time, limit, partialDelay clock.Duration) fanout.Params {
 	p := fanout.Params{
-		Kind: route.Kind, Services: route.Shards, MaxAttempts: route.MaxAttempts, MinCoverage: route.MinCoverage,
+		Kind: route.Kind, Services: services, MaxAttempts: route.MaxAttempts, MinCoverage: 1,
 		Deadline: now.Add(limit),
-		SelectBy: now.Add(min(limit, clock.Duration(shardSelectShare*float64(route.LatencyObjective)))),
 	}
-	if route.LatencyObjective > 0 {
-		p.PartialAt = now.Add(partialDelay)
+	share := selectShare
+	if route.IsSearch() {
+		share, p.MinCoverage = shardSelectShare, route.MinCoverage
+		if route.LatencyObjective > 0 {
+			p.PartialAt = now.Add(partialDelay)
+		}
 	}
+	p.SelectBy = now.Add(min(limit, clock.Duration(share*float64(route.LatencyObjective))))
 	return p
 }
 
@@ -308,6 +307,7 @@
 	g := q.g
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	isolated := g.isolationSignal()
 	for {
 		state, next, now := q.tick()
 		if state != fanout.Open {
@@ -323,10 +323,35 @@
 		case <-g.draining:
 			q.expire()
 			return
+		case <-isolated:
+			isolated = nil
+			if q.stranded() {
+				q.expire()
+				return
+			}
 		}
 	}
 }
 
+// isolationSignal returns a channel that is closed when the instance becomes isolated,
+// or nil if it is isolated already.
+func (g *Gateway) isolationSignal() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.targets.Isolated() {
+		return nil
+	}
+	return g.becomingIsolated
+}
+
+// stranded reports whether the request, at an instance that has become isolated, is
+// better run again elsewhere than waited for: no target has answered since it arrived.
+func (q *request) stranded() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.repeatable() && !q.g.targets.HeardSince(q.arrived)
+}
+
 // tick makes the sends that are due and returns the state, when the next step is due,
 // and the time.
 func (q *request) tick() (state fanout.State, next, now clock.Time) {
@@ -353,7 +378,7 @@
 	q.cancel()
 }
 
-// expire ends the request because the instance is stopping.
+// expire ends the request before its deadline.
 func (q *request) expire() {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
--- a/io/delegate/client.go
+++ b/io/delegate/client.go
@@ -60,6 +60,9 @@
 	}
 	defer l.removeRequest(number)
 	if err := send(context.WithoutCancel(ctx), l.conn, message{Number: number, Request: &r}); err != nil {
+		if tooLarge := (*TooLargeError)(nil); errors.As(err, &tooLarge) {
+			return Answer{}, errors.WithStack(&NotSentError{address, err})
+		}
 		c.closeLink(l, err)
 		return Answer{}, errors.WithStack(&LinkError{address, err})
 	}
--- a/io/delegate/delegate.go
+++ b/io/delegate/delegate.go
@@ -3,6 +3,9 @@
 package delegate
 
 import (
+	"net/http"
+	"strconv"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -13,9 +16,9 @@
 // Path is the URL path on which an instance accepts requests of other instances.
 const Path = "/v1/searches"
 
-// maxFrameBytes bounds the size of a message. An answer holds at most topK records and
-// one digest per shard.
-const maxFrameBytes = 4 << 20
+// maxFrameBytes bounds the size of a message. It is more than the largest answer of a
+// target; a request with a larger body is not sent.
+const maxFrameBytes = 9 << 20
 
 // Request is a request that another instance is asked to run.
 type Request struct {
@@ -30,6 +33,7 @@
 	// Fingerprint is that of the caller's request. A retry by the caller has the same
 	// fingerprint, but another Head, since Head contains the request's id.
 	Fingerprint poison.Fingerprint `cbor:"10,keyasint"`
+	AlreadySent bool               `cbor:"11,keyasint"` // targets may have received the request before
 }
 
 // Answer is the result of a request.
@@ -39,6 +43,11 @@
 	Body     []byte   `cbor:"3,keyasint"` // of a search, the greatest records in descending order
 	Digests  []string `cbor:"4,keyasint"` // of the shards' answers that Body is merged from
 	Missing  int      `cbor:"5,keyasint"` // number of shards that are not included
+	Isolated bool     `cbor:"6,keyasint"` // it declined because it reaches no target
+	// Status and Header are those of the target whose answer Body is. They are set if
+	// a target answered a request that is not a search.
+	Status int         `cbor:"7,keyasint"`
+	Header http.Header `cbor:"8,keyasint"`
 }
 
 // message is a message on a link. A message to the instance that runs the requests has
@@ -89,5 +98,13 @@
 	return "request not sent to " + e.Address + ": " + e.Cause.Error()
 }
 
+// TooLargeError reports a message that is larger than the other instance accepts.
+type TooLargeError struct{ Bytes int }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return "message of " + strconv.Itoa(e.Bytes) + " bytes is too large"
+}
+
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
--- a/io/delegate/server.go
+++ b/io/delegate/server.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/coder/websocket"
+	"github.com/pkg/errors"
 
 	"knapweedstall/core/clock"
 )
@@ -113,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if len(data) > maxFrameBytes {
+		return errors.WithStack(&TooLargeError{len(data)})
+	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout.Std())
 	defer cancel()
 	return c.Write(ctx, websocket.MessageBinary, data)
