Suspect an isolation also after lost sends

An instance whose connections to targets are reset at the start of a partition noticed it only once its kept connections were used up and new ones were refused; until then it also ran what others delegated to it, and failed. A lost send now counts like an overdue one: three targets without any answer since their sends began lead to a probe.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -35,7 +35,7 @@
 
 	heardAt  clock.Time                 // latest answer of any target
 	failing  map[topology.TargetID]bool // targets whose connections have begun to fail since the last probe that reached a target
-	overdue  map[topology.TargetID]bool // targets with a send that has become overdue since heardAt
+	silent   map[topology.TargetID]bool // targets with an unanswered send that has ended or become overdue since heardAt
 	probing  bool                       // a probe is due or under way
 	probeAt  clock.Time                 // earliest time of the next probe
 	isolated bool
@@ -48,7 +48,7 @@
 func (m *Monitor) Heard(id topology.TargetID, now clock.Time) {
 	m.heardAt = now
 	delete(m.failing, id)
-	clear(m.overdue)
+	clear(m.silent)
 }
 
 // ConnectFailed notes that the target can't be reached any more. sent is when the send
@@ -62,17 +62,17 @@
 	return (silent || m.suspicious(len(m.failing))) && m.startProbe()
 }
 
-// Overdue notes that a send to the target, which began at sent, is overdue. It reports
-// whether a probe must be made, at ProbeAt.
-func (m *Monitor) Overdue(id topology.TargetID, sent clock.Time) (probe bool) {
+// Unanswered notes that a send to the target, which began at sent, is overdue or was
+// lost. It reports whether a probe must be made, at ProbeAt.
+func (m *Monitor) Unanswered(id topology.TargetID, sent clock.Time) (probe bool) {
 	if m.HeardSince(sent) {
 		return false
 	}
-	if m.overdue == nil {
-		m.overdue = map[topology.TargetID]bool{}
+	if m.silent == nil {
+		m.silent = map[topology.TargetID]bool{}
 	}
-	m.overdue[id] = true
-	return m.suspicious(len(m.overdue)) && m.startProbe()
+	m.silent[id] = true
+	return m.suspicious(len(m.silent)) && m.startProbe()
 }
 
 // suspicious reports whether so many failing targets are reason for a probe.
@@ -99,7 +99,7 @@
 	if !m.isolated {
 		m.probing, m.probeAt = false, now.Add(probeBackoff)
 		clear(m.failing)
-		clear(m.overdue)
+		clear(m.silent)
 	}
 	return m.isolated != before
 }
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -51,26 +51,26 @@
 			m.Heard("d", 100)
 			return m.ConnectFailed("a", 10, clock.Time(10).Add(hung))
 		}, false},
-		"two sends are overdue": {func(m *reach.Monitor) bool {
-			m.Overdue("a", 10)
-			return m.Overdue("b", 10)
+		"two sends are unanswered": {func(m *reach.Monitor) bool {
+			m.Unanswered("a", 10)
+			return m.Unanswered("b", 10)
 		}, false},
-		"three sends are overdue": {func(m *reach.Monitor) bool {
-			m.Overdue("a", 10)
-			m.Overdue("b", 10)
-			return m.Overdue("c", 10)
+		"three sends are unanswered": {func(m *reach.Monitor) bool {
+			m.Unanswered("a", 10)
+			m.Unanswered("b", 10)
+			return m.Unanswered("c", 10)
 		}, true},
-		"three sends are overdue since the latest answer": {func(m *reach.Monitor) bool {
+		"three sends are unanswered since the latest answer": {func(m *reach.Monitor) bool {
 			m.Heard("d", 10)
-			m.Overdue("a", 10)
-			m.Overdue("b", 10)
-			return m.Overdue("c", 10)
+			m.Unanswered("a", 10)
+			m.Unanswered("b", 10)
+			return m.Unanswered("c", 10)
 		}, true},
-		"three sends are overdue while others answer": {func(m *reach.Monitor) bool {
-			m.Overdue("a", 10)
-			m.Overdue("b", 10)
+		"three sends are unanswered while others answer": {func(m *reach.Monitor) bool {
+			m.Unanswered("a", 10)
+			m.Unanswered("b", 10)
 			m.Heard("d", 41)
-			return m.Overdue("c", 10)
+			return m.Unanswered("c", 10)
 		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -283,7 +283,7 @@
 // sets Result.Overdue when the send ends.
 func (s *Set) MarkOverdue(t *Target, sent clock.Time) {
 	t.overdue++
-	s.probeDue = s.reach.Overdue(t.ID, sent) || s.probeDue
+	s.probeDue = s.reach.Unanswered(t.ID, sent) || s.probeDue
 }
 
 // Result describes the end of a send.
@@ -338,7 +338,9 @@
 			s.probeDue = s.reach.ConnectFailed(t.ID, r.Sent, now) || s.probeDue
 		}
 		t.connectFailed(now)
-	case Lost, Canceled:
+	case Lost:
+		s.probeDue = s.reach.Unanswered(t.ID, r.Sent) || s.probeDue
+	case Canceled:
 	}
 	if r.Late || r.Outcome == Answered {
 		t.observeLate(r.Late)
