Don't take the reset of all connections for crashes that a request caused

In a partition that resets connections and refuses new ones, an instance took each lost send for the crash of a target, since the target refused connections too. Two such crashes quarantine a request at all instances for ten minutes, so callers of a popular search would have been refused everywhere.

A crash now counts only if targets that have not received the request can be reached.

TestResetIsNoCrash failed before (four crashes written); the case of reset connections of TestIsolatedInstanceServesThroughOthers failed too, since the instance refused what it took for a request that crashes targets.

--- a/core/fanout/report.go
+++ b/core/fanout/report.go
@@ -20,6 +20,15 @@
 	return missing
 }
 
+// Targets returns the targets that the request was sent to.
+func (c *Call) Targets() []topology.TargetID {
+	var ids []topology.TargetID
+	for _, a := range c.attempts {
+		ids = append(ids, a.target.ID)
+	}
+	return ids
+}
+
 // failureDetail describes the send to a target of the service.
 func (a *attempt) failureDetail(service routing.ServiceName, now clock.Time) FailureDetail {
 	if !a.ended {
--- a/core/replica/probe.go
+++ b/core/replica/probe.go
@@ -1,8 +1,11 @@
 package replica
 
 import (
+	"slices"
+
 	"knapweedstall/core/clock"
 	"knapweedstall/core/reach"
+	"knapweedstall/core/topology"
 )
 
 // Isolated reports whether this instance reaches no target.
@@ -20,14 +23,14 @@
 	return s.reach.ProbeAt(), due
 }
 
-// ProbeTargets returns the targets of a probe: random ones, those whose latest
-// connection failed only if there are too few others.
-func (s *Set) ProbeTargets() []Listing {
+// ProbeTargets returns the targets of a probe: random ones that are not excluded, those
+// whose latest connection failed only if there are too few others.
+func (s *Set) ProbeTargets(excluded []topology.TargetID) []Listing {
 	var all, failing []Listing
 	for _, list := range s.services {
 		for _, t := range list {
 			switch {
-			case t.leaving() || s.evacuated[t.Zone]:
+			case t.leaving() || s.evacuated[t.Zone] || slices.Contains(excluded, t.ID):
 			case t.failures > 0:
 				failing = append(failing, t.Listing)
 			default:
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -30,12 +30,12 @@
 }
 
 // checkCrash checks whether a target whose connection broke has crashed, that is,
-// refuses connections. If the request may be the cause, it shares the crash with all
-// instances.
+// refuses connections while other targets can be reached. If the request may be the
+// cause, it shares the crash with all instances.
 func (g *Gateway) checkCrash(q *request, id topology.TargetID, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout.Std())
 	defer cancel()
-	if !g.pool.RefusesConnections(ctx, id, address) {
+	if !g.pool.RefusesConnections(ctx, id, address) || !q.reachesOthers() {
 		return
 	}
 	g.mu.Lock()
@@ -53,6 +53,23 @@
 	g.writeCrash(c)
 }
 
+// reachesOthers reports whether targets can be reached that have not received the
+// request. If there are none, it can't be told and counts as true.
+func (q *request) reachesOthers() bool {
+	q.othersOnce.Do(func() {
+		others := q.g.probeTargets(q.targets())
+		q.othersReached = len(others) == 0 || q.g.connectTo(others) > 0
+	})
+	return q.othersReached
+}
+
+// targets returns the targets that the request was sent to.
+func (q *request) targets() []topology.TargetID {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.call.Targets()
+}
+
 // writeCrash writes a crash to the store, from which all instances read it.
 func (g *Gateway) writeCrash(c poison.Crash) {
 	name, spec := platform.CrashObject(c)
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -2,29 +2,42 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"knapweedstall/gateway"
 	"knapweedstall/platform"
 )
 
+// cutMode is what happens to an instance's connections to targets in a partition.
+type cutMode int
+
+// Modes of a partition.
+const (
+	hang   cutMode = iota // open and new connections hang
+	refuse                // new connections are refused, and open ones live on
+	reset                 // new connections are refused, and open ones are reset
+)
+
 // partition separates an instance from all targets while it is on.
 type partition struct {
-	on      atomic.Bool
-	refuses bool // new connections are refused and open ones live on; else both hang
+	on   atomic.Bool
+	mode cutMode
 }
 
 // dial opens a connection to a target.
 func (p *partition) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if p.on.Load() {
-		if p.refuses {
-			return nil, errors.New("connection refused")
+		if p.mode != hang {
+			return nil, syscall.ECONNREFUSED
 		}
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -33,18 +46,25 @@
 	return &partitionedConn{Conn: c, partition: p}, err
 }
 
-// partitionedConn is a connection that loses what is sent on it during a partition.
+// partitionedConn is a connection that takes part in a partition.
 type partitionedConn struct {
 	net.Conn
 	partition *partition
 }
 
-func (c *partitionedConn) lost() bool { return c.partition.on.Load() && !c.partition.refuses }
+// in reports whether there is a partition of the mode.
+func (c *partitionedConn) in(mode cutMode) bool {
+	return c.partition.on.Load() && c.partition.mode == mode
+}
 
 // Read implements net.Conn.
 func (c *partitionedConn) Read(p []byte) (int, error) {
 	for {
-		if n, err := c.Conn.Read(p); err != nil || !c.lost() {
+		n, err := c.Conn.Read(p)
+		switch {
+		case c.in(reset):
+			return 0, syscall.ECONNRESET
+		case err != nil || !c.in(hang):
 			return n, err
 		}
 	}
@@ -52,12 +72,34 @@
 
 // Write implements net.Conn.
 func (c *partitionedConn) Write(p []byte) (int, error) {
-	if c.lost() {
+	if c.in(hang) {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
 }
 
+// TestResetIsNoCrash guards against an instance that takes the reset of its connections
+// in a partition for crashes which a request has caused: all instances then refuse that
+// request for minutes.
+func TestResetIsNoCrash(t *testing.T) {
+	env := newTestEnv(t)
+	cut := &partition{mode: reset}
+	in := env.start(nil, gateway.WithTargetDial(cut.dial))
+	for range 3 {
+		in.do(t, "GET", "/search/popular", "")
+		in.do(t, "GET", "/plain/popular", "")
+	}
+	cut.on.Store(true)
+	for range 3 {
+		in.do(t, "GET", "/search/popular", "")
+		in.do(t, "GET", "/plain/popular", "")
+		time.Sleep(100 * time.Millisecond) // until crashes are written
+	}
+	if diff := cmp.Diff([]string(nil), env.store.Names(platform.KindCrashes), cmpopts.EquateEmpty()); diff != "" {
+		t.Errorf("crashes (-want +got):\n%s", diff)
+	}
+}
+
 // TestRequestsInProgressMoveToOthers guards against requests that wait until their
 // deadline for targets from which their instance has been cut off.
 func TestRequestsInProgressMoveToOthers(t *testing.T) {
@@ -86,10 +128,10 @@
 // request that runs twice because another instance runs it too.
 func TestIsolatedInstanceServesThroughOthers(t *testing.T) {
 	const settleTime = 2 * time.Second // the users allow 4 s
-	for name, refuses := range map[string]bool{"connections hang": false, "connections are refused": true} {
+	for name, mode := range map[string]cutMode{"connections hang": hang, "connections are refused": refuse, "connections are reset": reset} {
 		t.Run(name, func(t *testing.T) {
 			env := newTestEnv(t)
-			cut, cutToo := &partition{refuses: refuses}, &partition{refuses: refuses}
+			cut, cutToo := &partition{mode: mode}, &partition{mode: mode}
 			in := env.start(nil, gateway.WithTargetDial(cut.dial))
 			env.start(nil, gateway.WithTargetDial(cutToo.dial))
 			env.start(nil)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -8,6 +8,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/replica"
+	"knapweedstall/core/topology"
 )
 
 // Timing of the probes that show whether the instance reaches targets.
@@ -38,7 +39,12 @@
 
 // probe makes one probe and reports whether the instance is isolated.
 func (g *Gateway) probe() (isolated bool) {
-	targets := g.probeTargets()
+	targets := g.probeTargets(nil)
+	return g.probed(len(targets), g.connectTo(targets))
+}
+
+// connectTo opens a connection to each target and returns how many could be opened.
+func (g *Gateway) connectTo(targets []replica.Listing) int {
 	ctx, cancel := context.WithTimeout(context.Background(), reachProbeTimeout.Std())
 	defer cancel()
 	var reached atomic.Int64
@@ -51,13 +57,14 @@
 		})
 	}
 	wait.Wait()
-	return g.probed(len(targets), int(reached.Load()))
+	return int(reached.Load())
 }
 
-func (g *Gateway) probeTargets() []replica.Listing {
+// probeTargets returns the targets of a probe, without the excluded ones.
+func (g *Gateway) probeTargets(excluded []topology.TargetID) []replica.Listing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.targets.ProbeTargets()
+	return g.targets.ProbeTargets(excluded)
 }
 
 // probed notes the end of a probe that tried to reach a number of targets, and reports
