Look for an instance with targets beyond the own zone

An isolated instance asked other instances in the order of their cost, which puts those of its own zone and the large ones first. On a deployment of hundreds of instances, with a whole zone or all large instances cut off, it asked eight that declined and then refused the request.

An instance that declines is not asked for 2 s, its zone comes after the others, and after two tries the choice is random. An instance that declines for another reason, such as another version of the configuration, is only left out for that request.

TestIsolatedInstancesAreSkipped failed before: 20 of 500 requests found no instance with one zone cut off, 20 with two, 60 with all large instances; now none, none and at most 10.

--- a/core/placing/placing.go
+++ b/core/placing/placing.go
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
@@ -67,12 +68,13 @@
 	random        *rand.Rand
 	runners       map[topology.InstanceID]*Runner
 	list          []*Runner
+	declinedUntil map[topology.ZoneID]clock.Time // until when a zone costs more because an instance there has declined
 }
 
 // NewSet returns a Set that selects runners for the instance self. It has no runners
 // until Update sets them, so self runs all searches.
 func NewSet(self Instance, random *rand.Rand) *Set {
-	return &Set{self: self, random: random, runners: map[topology.InstanceID]*Runner{}}
+	return &Set{self: self, random: random, runners: map[topology.InstanceID]*Runner{}, declinedUntil: map[topology.ZoneID]clock.Time{}}
 }
 
 // Update replaces the known instances.
@@ -102,30 +104,68 @@
 // its load until Done.
 func (s *Set) Place(shards int, coverage ZoneCoverage, now clock.Time) *Runner {
 	local := s.cost(s.self, s.localRequests, shards, coverage)
-	return s.cheapest(shards, coverage, min(local-minSaving, maxCostRatio*local), now)
+	return s.cheapest(shards, coverage, criteria{limit: min(local-minSaving, maxCostRatio*local)}, now)
 }
 
+// Parameters of placing requests that the instance can't run itself.
+const (
+	// declinedTime is the time for which an instance that has declined is not asked
+	// again, and its zone only when the others decline too.
+	declinedTime = 2 * clock.Second
+	// maxByCost is the number of instances that are selected by their cost. Those that
+	// decline may have the same cost, so the next ones are random.
+	maxByCost = 2
+	// declinedZoneCost is the cost of an instance of a zone where another one has
+	// declined. It exceeds all other costs.
+	declinedZoneCost = 1000.0
+)
+
 // PlaceElsewhere returns the other instance that should run a request which this one
-// can't run, or nil if there is none. The request goes to a number of services, and
-// counts as the load of the instance until Done.
-func (s *Set) PlaceElsewhere(services int, coverage ZoneCoverage, now clock.Time) *Runner {
-	return s.cheapest(services, coverage, math.Inf(1), now)
+// can't run, or nil if there is none. It returns none of those that were asked before.
+// The request goes to a number of services, and counts as the load of the instance until
+// Done.
+func (s *Set) PlaceElsewhere(services int, coverage ZoneCoverage, asked []topology.InstanceID, now clock.Time) *Runner {
+	if len(asked) < maxByCost {
+		return s.cheapest(services, coverage, criteria{limit: math.Inf(1), asked: asked, avoidDeclined: true}, now)
+	}
+	var left []*Runner
+	for _, r := range s.list {
+		if !now.Before(r.downUntil) && !slices.Contains(asked, r.ID) {
+			left = append(left, r)
+		}
+	}
+	if len(left) == 0 {
+		return nil
+	}
+	r := left[s.random.IntN(len(left))]
+	r.inFlight++
+	return r
+}
+
+// criteria restrict the choice of a runner.
+type criteria struct {
+	limit         float64               // maximum cost
+	asked         []topology.InstanceID // runners that must not be chosen
+	avoidDeclined bool                  // zones where a runner has declined come last
 }
 
-// cheapest returns the runner with the lowest cost, which counts the request as its
-// load, or nil if that of each one is above limit.
-func (s *Set) cheapest(shards int, coverage ZoneCoverage, limit float64, now clock.Time) *Runner {
+// cheapest returns the runner with the lowest cost that meets the criteria, and counts
+// the request as its load. It returns nil if there is none.
+func (s *Set) cheapest(shards int, coverage ZoneCoverage, want criteria, now clock.Time) *Runner {
 	best := (*Runner)(nil)
 	bestCost, equals := 0.0, 0
 	for _, r := range s.list {
-		if now.Before(r.downUntil) {
+		if now.Before(r.downUntil) || slices.Contains(want.asked, r.ID) {
 			continue
 		}
 		// Among runners whose costs differ by at most equalMargin from the lowest so
 		// far, the choice is random, by reservoir sampling.
 		c := s.cost(r.Instance, r.inFlight, shards, coverage) + s.hopCost(r)
+		if want.avoidDeclined && now.Before(s.declinedUntil[r.Zone]) {
+			c += declinedZoneCost
+		}
 		switch {
-		case c > limit:
+		case c > want.limit:
 		case best == nil || c < bestCost-equalMargin:
 			best, bestCost, equals = r, c, 1
 		case c <= bestCost+equalMargin:
@@ -176,3 +216,11 @@
 	r.downUntil = now.Add(min(minDownTime<<min(r.failures, 8), maxDownTime))
 	r.failures++
 }
+
+// Declined ends a request that Place or PlaceElsewhere gave to r and that r has declined
+// since it can't run requests itself. r gets no requests for a time.
+func (s *Set) Declined(r *Runner, now clock.Time) {
+	r.inFlight--
+	r.downUntil = now.Add(declinedTime)
+	s.declinedUntil[r.Zone] = now.Add(declinedTime)
+}
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -1,6 +1,7 @@
 package placing_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -76,7 +77,7 @@
 	s := newSet(instance("self", "z1", 0.8), instance("near", "z1", 0.1), instance("far", "z2", 0.1))
 	var got []topology.InstanceID
 	for range 3 {
-		r := s.PlaceElsewhere(1, everywhere, 10)
+		r := s.PlaceElsewhere(1, everywhere, nil, 10)
 		if r == nil {
 			got = append(got, "none")
 			continue
@@ -89,6 +90,63 @@
 	}
 }
 
+// TestIsolatedInstancesAreSkipped guards against an isolated instance that asks only
+// instances which are isolated too, such as all those of its zone, and against asking
+// one instance twice.
+func TestIsolatedInstancesAreSkipped(t *testing.T) {
+	const perZone, requests, maxTries = 100, 500, 8
+	for name, c := range map[string]struct {
+		isolated  func(in placing.Instance, random *rand.Rand) bool
+		maxFailed int
+	}{
+		"the own zone":           {func(in placing.Instance, _ *rand.Rand) bool { return in.Zone == "z1" }, 0},
+		"two of three zones":     {func(in placing.Instance, _ *rand.Rand) bool { return in.Zone != "z3" }, 0},
+		"most of each zone":      {func(_ placing.Instance, random *rand.Rand) bool { return random.IntN(10) < 7 }, requests / 50},
+		"all with much capacity": {func(in placing.Instance, _ *rand.Rand) bool { return in.Capacity > 0.5 }, requests / 50},
+	} {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 4))
+			isolated := map[topology.InstanceID]bool{}
+			var others []placing.Instance
+			for i := range 3 * perZone {
+				zone := topology.ZoneID(fmt.Sprintf("z%d", i%3+1))
+				in := instance(topology.InstanceID(fmt.Sprint(i)), zone, []float64{0.134, 0.272, 0.8}[i/3%3])
+				isolated[in.ID] = c.isolated(in, random)
+				others = append(others, in)
+			}
+			s := newSet(instance("self", "z1", 0.272), others...)
+			failed := 0
+			for i := range requests {
+				now := clock.Time(10 + 20*i)
+				if !serveElsewhere(s, isolated, maxTries, now) {
+					failed++
+				}
+			}
+			if failed > c.maxFailed {
+				t.Errorf("%d of %d requests found no instance within %d tries, want at most %d", failed, requests, maxTries, c.maxFailed)
+			}
+		})
+	}
+}
+
+// serveElsewhere asks instances to run a request until one that is not isolated is found.
+func serveElsewhere(s *placing.Set, isolated map[topology.InstanceID]bool, maxTries int, now clock.Time) bool {
+	var asked []topology.InstanceID
+	for range maxTries {
+		r := s.PlaceElsewhere(20, everywhere, asked, now)
+		switch {
+		case r == nil:
+			return false
+		case !isolated[r.ID]:
+			s.Done(r, false, now)
+			return true
+		}
+		asked = append(asked, r.ID)
+		s.Declined(r, now)
+	}
+	return false
+}
+
 // TestFailedRunner checks that an instance that has just failed gets no searches,
 // and that it gets them again after the backoff.
 func TestFailedRunner(t *testing.T) {
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -51,6 +51,7 @@
 		case unwilling:
 			return false
 		case declined:
+			q.asked = append(q.asked, runner.ID)
 		}
 	}
 	return false
@@ -63,7 +64,7 @@
 	defer g.mu.Unlock()
 	switch now := g.clock.Now(); {
 	case g.targets.Isolated():
-		return g.placing.PlaceElsewhere(len(q.services), g.zoneCoverageOf(q.route), now)
+		return g.placing.PlaceElsewhere(len(q.services), g.zoneCoverageOf(q.route), q.asked, now)
 	case q.route.IsSearch():
 		return g.placing.Place(len(q.services), g.zoneCoverageOf(q.route), now)
 	default:
@@ -129,11 +130,13 @@
 	g := q.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	isolated = g.targets.Isolated()
-	// An isolated instance asks a runner that has declined again only after a backoff.
-	failed = failed || answer.Declined && (isolated || answer.Isolated)
-	g.placing.Done(runner, failed, g.clock.Now())
-	return isolated
+	now := g.clock.Now()
+	if answer.Declined && answer.Isolated {
+		g.placing.Declined(runner, now)
+	} else {
+		g.placing.Done(runner, failed, now)
+	}
+	return g.targets.Isolated()
 }
 
 // delegateInstead has another instance run the request that this one has failed to run
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -74,7 +74,8 @@
 	params      fanout.Params
 	out         upstream.Request // the request as it is sent to targets
 	arrived     clock.Time
-	version     routing.Version // version of the configuration
+	version     routing.Version       // version of the configuration
+	asked       []topology.InstanceID // instances that have not run the request although they were asked
 	fingerprint poison.Fingerprint
 
 	ctx    context.Context // context of the sends
