Split the largest files of the gateway and of core/replica

Moves only, no change of behaviour: running delegated requests, the parameters of calls, the outcomes of sends and the environment of the gateway's tests get files of their own.

--- /dev/null
+++ b/gateway/delegated.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+
+	"knapweedstall/core/fanout"
+	"knapweedstall/core/routing"
+	"knapweedstall/io/delegate"
+	"knapweedstall/io/upstream"
+)
+
+// runDelegated runs a request for another instance until ctx is done. A panic fails only
+// this request.
+func (g *Gateway) runDelegated(ctx context.Context, r delegate.Request) (answer delegate.Answer) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.logPanic(r.RequestID, cause)
+			answer = delegate.Answer{State: string(fanout.Failure), Missing: 1}
+		}
+	}()
+	table, isolated := g.tableAndIsolated()
+	if isolated {
+		return delegate.Answer{Declined: true, Isolated: true}
+	}
+	if g.stopping.Load() || table == nil || int64(table.Config.Version) != r.Version {
+		// The request must run with the configuration that is active at the
+		// delegating instance, neither an earlier nor a later one.
+		return delegate.Answer{Declined: true}
+	}
+	route := table.Route(routing.RouteName(r.Route))
+	if route == nil {
+		return delegate.Answer{Declined: true}
+	}
+	q := g.openRequest(route, g.clock.Now())
+	q.out = upstream.Request{ID: r.RequestID, Method: r.Method, Head: r.Head, Body: r.Body}
+	q.fingerprint, q.version = r.Fingerprint, table.Config.Version
+	q.params = callParams(route, q.services, q.arrived, max(r.Remaining, 1), max(r.PartialAfter, 1))
+	q.params.AlreadySent = r.AlreadySent
+	q.start(table)
+	defer q.finish()
+	q.wait(ctx)
+	g.record(q)
+	return q.delegatedAnswer()
+}
+
+// tableAndIsolated returns the routing table in force, nil for none, and whether this
+// instance reaches no target.
+func (g *Gateway) tableAndIsolated() (table *routing.Table, isolated bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table, g.targets.Isolated()
+}
+
+// delegatedAnswer returns the answer to the instance that delegated the request.
+func (q *request) delegatedAnswer() delegate.Answer {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if q.state == fanout.Refused && q.g.targets.Isolated() {
+		return delegate.Answer{Declined: true, Isolated: true}
+	}
+	a := delegate.Answer{State: string(q.state)}
+	succeeded := q.state == fanout.Complete || q.state == fanout.Partial
+	switch {
+	case succeeded && q.route.IsSearch():
+		a.Body, a.Digests = q.merge()
+		a.Missing = len(q.services) - len(a.Digests)
+	case succeeded:
+		a.Status, a.Header, a.Body = q.answers[0].Status, q.answers[0].Header, q.answers[0].Body
+	case q.state == fanout.Failure && !q.route.IsSearch():
+		a.Status, a.Header, a.Body = q.failure.Status, q.failure.Header, q.failure.Body
+	}
+	return a
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -21,14 +21,6 @@
 
 // Limits of a request.
 const (
-	// selectShare is the share of the latency objective for which a request waits for
-	// a target that accepts it.
-	selectShare = 0.2
-	// shardSelectShare is the same for a shard of a search, whose other shards are
-	// in progress meanwhile.
-	shardSelectShare = 0.6
-	// defaultDeadline applies to requests that state no deadline.
-	defaultDeadline = 5 * clock.Second
 	// losingSendTimeout is how long a send may go on after the request has ended
 	// without it, so that its connection can be reused. It is longer than a pause of
 	// a target.
@@ -39,9 +31,6 @@
 	// staleConfigAge is the age of the copies beyond which an unknown route may
 	// belong to a configuration that this instance has not received.
 	staleConfigAge = 3 * clock.Second
-	// deadlineMargin is the part of the caller's time that is reserved for returning
-	// the answer.
-	deadlineMargin = 5 * clock.Millisecond
 )
 
 // Retry-After times of refused requests.
@@ -196,38 +185,6 @@
 	return q
 }
 
-// requestParams returns the parameters of the call for a caller's request.
-func requestParams(route *routing.Route, services []routing.ServiceName, h http.Header, arrived clock.Time) fanout.Params {
-	deadline, stated := platform.Deadline(h)
-	if !stated {
-		deadline = defaultDeadline
-	}
-	limit := max(deadline-deadlineMargin, 1)
-	if route.Timeout > 0 {
-		limit = min(limit, route.Timeout)
-	}
-	return callParams(route, services, arrived, limit, fanout.PartialAnswerDelay(route.LatencyObjective))
-}
-
-// callParams returns the parameters of the call for a request that ends after limit. If
-// the request is a search and the route has a latency objective, a partial answer is
-// returned after partialDelay.
-func callParams(route *routing.Route, services []routing.ServiceName, now clock.Time, limit, partialDelay clock.Duration) fanout.Params {
-	p := fanout.Params{
-		Kind: route.Kind, Services: services, MaxAttempts: route.MaxAttempts, MinCoverage: 1,
-		Deadline: now.Add(limit),
-	}
-	share := selectShare
-	if route.IsSearch() {
-		share, p.MinCoverage = shardSelectShare, route.MinCoverage
-		if route.LatencyObjective > 0 {
-			p.PartialAt = now.Add(partialDelay)
-		}
-	}
-	p.SelectBy = now.Add(min(limit, clock.Duration(share*float64(route.LatencyObjective))))
-	return p
-}
-
 // start makes the first sends.
 func (q *request) start(table *routing.Table) {
 	g := q.g
@@ -330,7 +287,7 @@
 			return
 		case <-isolated:
 			isolated = nil
-			if q.stranded() {
+			if q.betterElsewhere() {
 				q.expire()
 				return
 			}
@@ -349,9 +306,9 @@
 	return g.becomingIsolated
 }
 
-// stranded reports whether the request, at an instance that has become isolated, is
+// betterElsewhere reports whether the request, at an instance that has become isolated, is
 // better run again elsewhere than waited for: no target has answered since it arrived.
-func (q *request) stranded() bool {
+func (q *request) betterElsewhere() bool {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	return q.repeatable() && !q.g.targets.HeardSince(q.arrived)
