Let a failed request wait for the probe that decides whether it moves

The first requests of a partition still failed: their sends were refused within a millisecond, and the probe that shows that the instance is isolated ended just after.

TestFirstRequestOfPartitionIsServed takes the place of TestRequestsInProgressMoveToOthers and includes its case; the case of refused connections failed before (502).

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -140,27 +140,34 @@
 }
 
 // delegateInstead has another instance run the request that this one has failed to run
-// because it is isolated, and reports whether the caller has been answered.
+// because it is isolated, and reports whether the caller has been answered. If a probe
+// is being made that will show whether the instance is isolated, it waits for it.
 func (q *request) delegateInstead(w http.ResponseWriter, r *http.Request, table *routing.Table) bool {
+	if !q.failedUnanswered() {
+		return false
+	}
+	q.g.awaitProbe(r.Context())
 	return q.prepareRerun() && q.delegate(w, r, table)
 }
 
-// prepareRerun reports whether the request has failed because this instance is isolated
-// and can be run again, and notes that targets may have received it.
+// prepareRerun reports whether the request, which has failed, can be run again because
+// this instance is isolated, and notes that targets may have received it.
 func (q *request) prepareRerun() bool {
 	g := q.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !q.failedUnanswered() || !g.targets.Isolated() || q.params.Deadline.Sub(g.clock.Now()) <= minRerunTime {
+	if !g.targets.Isolated() || q.params.Deadline.Sub(g.clock.Now()) <= minRerunTime {
 		return false
 	}
 	q.params.AlreadySent = q.params.AlreadySent || q.call.MayHaveRun()
 	return true
 }
 
-// failedUnanswered reports whether the request has failed, so that it may be run again.
-// The gateway's mu must be held.
+// failedUnanswered reports whether the request has failed in a way that allows to run it
+// again.
 func (q *request) failedUnanswered() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
 	switch q.state {
 	case fanout.Refused, fanout.Expired:
 		return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,7 @@
 	// becomingIsolated is closed when the instance becomes isolated, and replaced when
 	// it ceases to be.
 	becomingIsolated chan struct{}
+	probeEnded       chan struct{}      // closed at the end of the first probe after a suspicion; nil while none is made
 	openCount        int                // requests in progress
 	completeCount    int                // requests with a complete answer, for sampling log lines
 	peers            []placing.Instance // all registered instances, this one included, in the order of source.Compare
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -100,26 +100,40 @@
 	}
 }
 
-// TestRequestsInProgressMoveToOthers guards against requests that wait until their
-// deadline for targets from which their instance has been cut off.
-func TestRequestsInProgressMoveToOthers(t *testing.T) {
+// TestFirstRequestOfPartitionIsServed guards against requests that fail, or wait until
+// their deadline, because their instance has not noticed yet that it is cut off.
+func TestFirstRequestOfPartitionIsServed(t *testing.T) {
 	const limit = 900 * time.Millisecond // the request's deadline is 1 s
-	env := newTestEnv(t)
-	cut := &partition{}
-	in := env.start(nil, gateway.WithTargetDial(cut.dial))
-	other := env.start(nil)
-	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == 2 })
-	for range 30 { // so that the budget allows repeats
-		in.do(t, "GET", "/search/before", "")
-		other.do(t, "GET", "/search/before", "")
-	}
-	cut.on.Store(true)
-	started := time.Now()
-	if got := in.do(t, "GET", "/search/1", ""); got.Status != http.StatusOK {
-		t.Errorf("answer %+v, want one of the other instance", got)
-	}
-	if took := time.Since(started); took > limit {
-		t.Errorf("the answer took %v, want at most %v", took, limit)
+	for name, c := range map[string]struct {
+		mode      cutMode
+		connected bool // the instance has open connections
+	}{
+		"connections hang":        {hang, true},
+		"connections are reset":   {reset, true},
+		"connections are refused": {refuse, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			cut := &partition{mode: c.mode}
+			in := env.start(nil, gateway.WithTargetDial(cut.dial))
+			other := env.start(nil)
+			env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == 2 })
+			time.Sleep(300 * time.Millisecond) // until each instance has the list
+			for range 30 {                     // so that the budget allows repeats
+				other.do(t, "GET", "/search/before", "")
+				if c.connected {
+					in.do(t, "GET", "/search/before", "")
+				}
+			}
+			cut.on.Store(true)
+			started := time.Now()
+			if got := in.do(t, "GET", "/search/1", ""); got.Status != http.StatusOK {
+				t.Errorf("answer %+v, want one of the other instance", got)
+			}
+			if took := time.Since(started); took > limit {
+				t.Errorf("the answer took %v, want at most %v", took, limit)
+			}
+		})
 	}
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -19,8 +19,30 @@
 
 // startProbe makes a probe if one is due. mu must be held.
 func (g *Gateway) startProbe() {
-	if at, due := g.targets.TakeProbe(); due {
-		go g.probeUntilReached(max(at.Sub(g.clock.Now()), 0))
+	at, due := g.targets.TakeProbe()
+	if !due {
+		return
+	}
+	wait := max(at.Sub(g.clock.Now()), 0)
+	if wait == 0 {
+		g.probeEnded = make(chan struct{})
+	}
+	go g.probeUntilReached(wait)
+}
+
+// awaitProbe waits for the end of the probe that is being made, if there is one, at most
+// until the caller has left.
+func (g *Gateway) awaitProbe(caller context.Context) {
+	g.mu.Lock()
+	ended := g.probeEnded
+	g.mu.Unlock()
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended: // after reachProbeTimeout at the latest
+	case <-caller.Done():
+	case <-g.draining:
 	}
 }
 
@@ -74,6 +96,10 @@
 	defer g.mu.Unlock()
 	changed := g.targets.Probed(reached, g.clock.Now())
 	isolated = g.targets.Isolated()
+	if g.probeEnded != nil {
+		close(g.probeEnded)
+		g.probeEnded = nil
+	}
 	switch {
 	case changed && isolated:
 		close(g.becomingIsolated)
