--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -31,9 +31,9 @@
 
 // Results of delegating a request.
 const (
-	answered  delegation = iota // the caller has been answered or has left
-	declined                    // the instance did not accept the request, or can't answer it
-	unwilling                   // the instance should not be asked, and this one must run the request
+	answered   delegation = iota // the caller has been answered or has left
+	askNext                      // another instance should be asked
+	runLocally                   // this instance should run the request
 )
 
 // delegate has another instance run the request if that is expected to answer the
@@ -48,9 +48,9 @@
 		switch q.delegateTo(runner, w, r, table) {
 		case answered:
 			return true
-		case unwilling:
+		case runLocally:
 			return false
-		case declined:
+		case askNext:
 			q.asked = append(q.asked, runner.ID)
 		}
 	}
@@ -89,9 +89,9 @@
 	isolated := q.endDelegation(runner, err != nil && ctx.Err() == nil, answer)
 	var notSent *delegate.NotSentError
 	interrupted := fanout.State(answer.State) == fanout.TimedOut && q.params.Deadline.Sub(g.clock.Now()) > minRerunTime
-	next := unwilling
+	next := runLocally
 	if isolated || answer.Isolated {
-		next = declined
+		next = askNext
 	}
 	switch {
 	case err == nil && answer.Declined:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,8 +75,8 @@
 	metrics      *counters
 	droppedLines func() int64 // number of log lines that were dropped
 	views        *views
-	delegates    *delegate.Client // sends searches to other instances
-	delegated    *delegate.Server // runs searches of other instances
+	delegates    *delegate.Client // sends requests to other instances
+	delegated    *delegate.Server // runs requests of other instances
 }
 
 // Option configures a Gateway.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,7 +28,7 @@
 	repeats           tally.Counter
 	repeatsDenied     tally.Counter // repeats that the budget denied
 	refusals          tally.Counter // requests that were not sent to any target
-	delegated         tally.Counter // searches that other instances ran
+	delegated         tally.Counter // requests that other instances ran
 	sourcesLost       tally.Counter // losses of the store or of a followed instance of this zone
 	connectionsOpened tally.Counter
 	linesDropped      tally.Counter
