Answer requests that are read while a planned stop ends idle connections

Cause: http.Server looks whether a connection is idle and then closes it, and a request that is read in between gets no answer.

Idle connections are now ended by a read deadline in the past instead of being closed. A read that has already returned is not affected, and the server sets another deadline for the rest of that request.

--- /dev/null
+++ b/io/ingress/conn.go
@@ -0,0 +1,90 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// callerConn is a connection of a caller that can be ended while it is idle. To close it
+// would not do: a request may have been read already whose connection still counts as
+// idle, and it would be passed on to targets and get no answer.
+type callerConn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	idle bool // an answer has been written, and no byte of the next request has been read
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.setIdle(false)
+	}
+	return n, err
+}
+
+func (c *callerConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+}
+
+// endIfIdle makes the connection's reads fail if it is idle, so that its http.Server
+// closes it. If a request is read at the same time, the http.Server sets another deadline
+// for the rest of it. It also does so just after an answer, so endIfIdle must be called
+// until the connection is closed.
+func (c *callerConn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
+// connSet holds the open connections of callers.
+type connSet struct {
+	mu    sync.Mutex
+	conns map[*callerConn]bool
+}
+
+func newConnSet() *connSet { return &connSet{conns: map[*callerConn]bool{}} }
+
+func (s *connSet) add(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = true
+}
+
+func (s *connSet) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// observe is the ConnState hook of all servers.
+func (s *connSet) observe(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*callerConn)
+	if !ok {
+		return // there is no other type of connection
+	}
+	switch state {
+	case http.StateIdle:
+		conn.setIdle(true)
+	case http.StateClosed, http.StateHijacked:
+		s.remove(conn)
+	case http.StateNew, http.StateActive:
+	}
+}
+
+// endIdle ends the idle connections and returns how many are open, these included.
+func (s *connSet) endIdle() (open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.endIfIdle()
+	}
+	return len(s.conns)
+}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,7 +29,7 @@
 	closed  bool
 
 	accepting sync.WaitGroup // calls of Serve
-	open      atomic.Int64   // accepted connections that have not been closed
+	open      *connSet       // accepted connections that have not been closed
 }
 
 // deadlineListener is a listener whose Accept can be given a deadline.
@@ -53,7 +52,7 @@
 }
 
 func newServer(l deadlineListener, handler http.Handler) *Server {
-	s := &Server{listener: l, handler: handler}
+	s := &Server{listener: l, handler: handler, open: newConnSet()}
 	s.SetLimits(routing.DefaultLimits)
 	return s
 }
@@ -85,7 +84,7 @@
 		MaxHeaderBytes:    l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTimeout.Std(),
 		IdleTimeout:       l.IdleTimeout.Std(),
-		ConnState:         s.countConnection,
+		ConnState:         s.open.observe,
 	}
 	s.current = &connListener{conns: make(chan net.Conn), done: make(chan struct{}), address: s.listener.Addr()}
 	s.servers = append(s.servers, server)
@@ -113,7 +112,7 @@
 	s.accepting.Add(1)
 	defer s.accepting.Done()
 	for {
-		c, err := s.listener.Accept()
+		accepted, err := s.listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil
@@ -123,11 +122,12 @@
 		s.mu.Lock()
 		h := s.current
 		s.mu.Unlock()
-		s.open.Add(1)
+		c := &callerConn{Conn: accepted}
+		s.open.add(c)
 		select {
 		case h.conns <- c:
 		case <-h.done:
-			s.open.Add(-1)
+			s.open.remove(c)
 			_ = c.Close() // the server is shutting down
 		}
 	}
@@ -147,9 +147,6 @@
 		s.accepting.Wait()
 	}
 	_ = s.listener.Close() // no connection is accepted any more, even if it fails
-	for _, server := range servers {
-		server.SetKeepAlivesEnabled(false) // closes idle connections, and the others after their answer
-	}
 	s.awaitConnections(ctx)
 	var wait sync.WaitGroup
 	for _, server := range servers {
@@ -161,14 +158,14 @@
 	wait.Wait()
 }
 
-// awaitConnections waits until no connection is open, for up to newConnectionTime or
-// until ctx is done.
+// awaitConnections ends idle connections and waits until none is open, for up to
+// newConnectionTime or until ctx is done.
 func (s *Server) awaitConnections(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, newConnectionTime)
 	defer cancel()
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
-	for s.open.Load() > 0 {
+	for s.open.endIdle() > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -177,13 +174,6 @@
 	}
 }
 
-// countConnection counts the open connections; it is the ConnState hook of all servers.
-func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
-	if state == http.StateClosed || state == http.StateHijacked {
-		s.open.Add(-1)
-	}
-}
-
 // connListener is a net.Listener that returns the connections passed to its channel.
 type connListener struct {
 	conns   chan net.Conn
