--- a/soak/environment_test.go
+++ b/soak/environment_test.go
@@ -61,7 +61,8 @@
 	process *exec.Cmd
 	logs    bytes.Buffer
 	done    chan struct{}
-	stopped bool // no further process may start
+	stopped bool        // no further process may start
+	starts  []time.Time // of processes
 }
 
 // newEnvironment starts a store, two targets for each service, and the given number of
@@ -147,6 +148,7 @@
 	}
 	done := make(chan struct{})
 	i.process, i.done = p, done
+	i.starts = append(i.starts, time.Now())
 	go func() {
 		_ = p.Wait() // ProcessState says how the process ended
 		close(done)
@@ -158,6 +160,21 @@
 	}()
 }
 
+// startsBetween returns how many processes of instances have started within a period.
+func (e *environment) startsBetween(from, to time.Time) int {
+	n := 0
+	for _, inst := range e.instances {
+		inst.mu.Lock()
+		for _, at := range inst.starts {
+			if at.After(from) && at.Before(to) {
+				n++
+			}
+		}
+		inst.mu.Unlock()
+	}
+	return n
+}
+
 // signal sends a signal to the process of the instance. It returns the process and a
 // channel that is closed when the process has ended.
 func (i *instance) signal(s syscall.Signal) (*exec.Cmd, <-chan struct{}) {
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -12,9 +12,11 @@
 	limitWindow = 4 * time.Second
 	// limitStart is the time after the first statement of a limit from which on it binds.
 	limitStart = 4 * time.Second
-	// restartAllowance is the number of requests that an instance may have sent to a
+	// restartAllowance is the number of requests that a started instance may send to a
 	// limited target before an answer tells it the limit, one for each caller.
 	restartAllowance = callerCount
+	// restartTime is the time after its start within which an instance sends them.
+	restartTime = time.Second
 )
 
 // limitPeriod is a period in which a target states a limit.
@@ -30,7 +32,7 @@
 	if s.endLimit(target) {
 		return
 	}
-	perSecond := 1 + s.random.IntN(10)
+	perSecond := 1 + s.random.IntN(2)
 	target.SetRequestLimit(strconv.Itoa(perSecond))
 	s.limits = append(s.limits, limitPeriod{target: target, perSecond: perSecond, start: time.Now()})
 }
@@ -63,7 +65,7 @@
 					got++
 				}
 			}
-			allowed := l.perSecond*int(limitWindow/time.Second)*3/2 + 5 + restartAllowance*s.startsBetween(l.start, to)
+			allowed := l.perSecond*int(limitWindow/time.Second)*3/2 + 5 + restartAllowance*s.startsBetween(from.Add(-restartTime), to)
 			if got > allowed {
 				s.t.Errorf("target %s got %d requests in %v, %v after it stated a limit of %d per second; %d are allowed",
 					l.target.ID, got, limitWindow, from.Sub(l.start), l.perSecond, allowed)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,6 +86,7 @@
 	lastRequest atomic.Int64
 	// terminations waits for the instances that are stopping.
 	terminations sync.WaitGroup
+	limits       []limitPeriod // of all targets so far
 
 	mu        sync.Mutex
 	responses map[string]response // by request id
@@ -106,6 +107,7 @@
 	stop()
 	wait.Wait()
 	s.checkSingleRuns()
+	s.checkLimits()
 }
 
 // injectFault injects one random fault or ends an earlier one.
@@ -116,7 +118,7 @@
 	if s.random.IntN(2) == 0 {
 		link = inst.peerProxy
 	}
-	switch s.random.IntN(15) {
+	switch s.random.IntN(16) {
 	case 0:
 		inst.signal(syscall.SIGKILL)
 	case 1:
@@ -147,6 +149,8 @@
 		target.SetDropAnswers(s.random.IntN(2) == 0)
 	case 14:
 		target.SetDelay(time.Duration(s.random.IntN(300)) * time.Millisecond)
+	case 15:
+		s.limitRequests(target)
 	}
 }
 
@@ -185,6 +189,7 @@
 		target.SetShedding(false)
 		target.SetDropAnswers(false)
 		target.SetDelay(0)
+		s.endLimit(target)
 	}
 	for _, inst := range s.instances {
 		inst.storeProxy.clearFaults()
