Define the instructions to read and write an object once

They stood three times, in core/ticket, core/claim and core/quarantine, whose commands now embed those of core/object. No change of behaviour.

--- a/core/claim/command.go
+++ b/core/claim/command.go
@@ -14,18 +14,12 @@
 }
 
 // ReadObject asks for one read; its result goes to ReadDone.
-type ReadObject struct {
-	Key object.Key
-}
+type ReadObject struct{ object.Read }
 
 func (ReadObject) command() {}
 
 // WriteObject asks for one conditional write; its result goes to WriteDone.
-type WriteObject struct {
-	Key    object.Key
-	Expect object.Version // 0: create only if absent
-	Value  []byte
-}
+type WriteObject struct{ object.Write }
 
 func (WriteObject) command() {}
 
--- a/core/claim/writer.go
+++ b/core/claim/writer.go
@@ -189,7 +189,7 @@
 	case len(b.items) > 0:
 		j.op = opWrite
 		j.writing = b
-		return append(out, WriteObject{Key: j.key, Expect: j.version, Value: j.contents.encode(b.replaced, b.added)})
+		return append(out, WriteObject{object.Write{Key: j.key, Expect: j.version, Value: j.contents.encode(b.replaced, b.added)}})
 	case j.reload:
 		return append(out, j.read()...)
 	}
@@ -200,7 +200,7 @@
 	j.op = opRead
 	j.readEpoch++
 	j.reload = false
-	return []Command{ReadObject{Key: j.key}}
+	return []Command{ReadObject{object.Read{Key: j.key}}}
 }
 
 // issueRun issues the Run of a durable claim if a submission still waits for it.
--- a/core/object/object.go
+++ b/core/object/object.go
@@ -1,6 +1,6 @@
 // Package object defines how the state machines in core represent an object in
-// the platform's store: its key and version, and the results of one read or one
-// conditional write.
+// the platform's store: its key and version, and the instructions and results of one
+// read or one conditional write.
 package object
 
 // Key identifies an object.
@@ -10,6 +10,18 @@
 // exist.
 type Version int64
 
+// Read is an instruction to read an object.
+type Read struct {
+	Key Key
+}
+
+// Write is an instruction to write an object if its stored version is Expect.
+type Write struct {
+	Key    Key
+	Expect Version // 0: create only if absent
+	Value  []byte
+}
+
 // ReadResult is the result of one read.
 type ReadResult struct {
 	Key     Key
--- a/core/quarantine/bucket.go
+++ b/core/quarantine/bucket.go
@@ -83,7 +83,7 @@
 	var out []Command
 	for i := range co.buckets {
 		co.buckets[i].callPending = true
-		out = append(out, ReadObject{Key: co.buckets[i].key})
+		out = append(out, ReadObject{object.Read{Key: co.buckets[i].key}})
 	}
 	return out
 }
@@ -101,12 +101,12 @@
 			return nil
 		}
 		b.callPending = true
-		return []Command{ReadObject{Key: b.key}}
+		return []Command{ReadObject{object.Read{Key: b.key}}}
 	}
 	value, ids := co.encodeBucket(now, n)
 	b.callPending = true
 	b.inWrite = ids
-	return []Command{WriteObject{Key: b.key, Expect: b.version, Value: value}}
+	return []Command{WriteObject{object.Write{Key: b.key, Expect: b.version, Value: value}}}
 }
 
 // awaitsBucket reports whether a queue waits for bucket n.
--- a/core/ticket/filing.go
+++ b/core/ticket/filing.go
@@ -14,18 +14,12 @@
 }
 
 // ReadObject asks for one read; its result goes to ReadDone.
-type ReadObject struct {
-	Key object.Key
-}
+type ReadObject struct{ object.Read }
 
 func (ReadObject) command() {}
 
 // WriteObject asks for one conditional write; its result goes to WriteDone.
-type WriteObject struct {
-	Key    object.Key
-	Expect object.Version // 0: create only if absent
-	Value  []byte
-}
+type WriteObject struct{ object.Write }
 
 func (WriteObject) command() {}
 
@@ -183,12 +177,12 @@
 		return f.finish(&FaultError{Code: FaultSyntax, Detail: err.Error()})
 	}
 	f.phase = filingCreate
-	return []Command{WriteObject{Key: Key(f.ticket.Number), Value: data}}
+	return []Command{WriteObject{object.Write{Key: Key(f.ticket.Number), Value: data}}}
 }
 
 func (f *Filing) read() []Command {
 	f.phase = filingRead
-	return []Command{ReadObject{Key: Key(f.ticket.Number)}}
+	return []Command{ReadObject{object.Read{Key: Key(f.ticket.Number)}}}
 }
 
 func (f *Filing) scheduleRetry(now clock.Time) []Command {
