--- a/core/replica/limit.go
+++ b/core/replica/limit.go
@@ -128,8 +128,8 @@
 	l.used, l.usedPrev = l.next(interval, now), l.used
 }
 
-// untake returns the slot that was used last.
-func (l *limitSlots) untake() { l.used = l.usedPrev }
+// giveBack returns the slot that was used last.
+func (l *limitSlots) giveBack() { l.used = l.usedPrev }
 
 // share returns this instance's share of what targets of a service give to all
 // instances together, 0 to 1. The instances share shards by the searches that they run,
--- a/core/replica/limit_test.go
+++ b/core/replica/limit_test.go
@@ -58,10 +58,8 @@
 	return l.instances - 1
 }
 
-// play sends the load for the duration and returns when the limited target got requests
-// of instances that it had told its limit, and how many requests got no target. Each
-// answer of the limited target states the limit.
-func (l *limitedLoad) play(duration clock.Duration) (sent []clock.Time, refused int) {
+// newSets returns the targets as each instance sees them.
+func (l *limitedLoad) newSets() []*replica.Set {
 	var listings []replica.Listing
 	for i := range l.targets {
 		listings = append(listings, listing(topology.TargetID(fmt.Sprintf("t%d", i)), "z1"))
@@ -82,6 +80,14 @@
 		s.SetInstances(known, share, anySender)
 		sets = append(sets, s)
 	}
+	return sets
+}
+
+// play sends the load for the duration and returns when the limited target got requests
+// of instances that it had told its limit, and how many requests got no target. Each
+// answer of the limited target states the limit.
+func (l *limitedLoad) play(duration clock.Duration) (sent []clock.Time, refused int) {
+	sets := l.newSets()
 	told := map[*replica.Set]clock.Time{} // when an instance got the first answer that states the limit
 	random := rand.New(rand.NewPCG(5, 6))
 	at := float64(playStart)
--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -273,9 +273,9 @@
 func (s *Set) Undo(t *Target) {
 	t.inFlight--
 	t.probing = false
-	t.coldTokens.untake() // has no effect unless the target is cold
+	t.coldTokens.giveBack() // has no effect unless the target is cold
 	if t.limited {
-		t.slots.untake()
+		t.slots.giveBack()
 	}
 }
 
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -231,5 +231,5 @@
 	return true
 }
 
-// untake returns a token.
-func (k *tokenBucket) untake() { k.level = min(1, k.level+1) }
+// giveBack returns a token.
+func (k *tokenBucket) giveBack() { k.level = min(1, k.level+1) }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -69,10 +69,11 @@
 
 	ctx    context.Context // context of the sends
 	cancel context.CancelFunc
+	wake   chan struct{} // signals that the state is final or next has become earlier
+
 	// othersReached is the result of reachesOthers once othersOnce is done.
 	othersOnce    sync.Once
 	othersReached bool
-	wake          chan struct{} // signals that the state is final or next has become earlier
 
 	// Guarded by the gateway's mu.
 	call           *fanout.Call
