Make a call of the target emulator cancellable before it counts as running

Traced: the emulator counted the call as running, released its lock, and only then stored the function that cancels the call, so a cancellation in between had no effect. It is not put down to the load: TestCancelOfStartingCall failed before without any, within the first 7 of 300 calls.

--- a/emulator/target/call.go
+++ b/emulator/target/call.go
@@ -54,9 +54,12 @@
 	if !sleep(ctx, network, nil) {
 		return nil
 	}
+	header := c.Request().Header
+	runCtx, cancel := s.cancellable(ctx, header.Get(HeaderCall))
+	defer cancel()
 	a := s.admitCall(c.Path(), r, c.Request())
 	if a.outcome == OutcomeRunning {
-		a.outcome = s.runCancellable(ctx, a, c.Request().Header)
+		a.outcome = s.run(runCtx, a, deadlineOf(header))
 		s.releaseSlot(a)
 	}
 	s.callLog.recordEnd(a.call, a.outcome)
@@ -151,15 +154,19 @@
 	return false
 }
 
-// runCancellable runs a call. POST /v1/cancel can end it by its id.
-func (s *Server) runCancellable(ctx context.Context, a admission, header http.Header) Outcome {
+// cancellable returns the context of a call, which POST /v1/cancel can end by the call's
+// id. "" is no id. It must be called before the call starts, since a client may cancel it
+// as soon as it counts as running. The caller ends the context with the function.
+func (s *Server) cancellable(ctx context.Context, id string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if id := header.Get(HeaderCall); id != "" {
-		s.cancels.Store(id, cancel)
-		defer s.cancels.Delete(id)
+	if id == "" {
+		return ctx, cancel
+	}
+	s.cancels.Store(id, cancel)
+	return ctx, func() {
+		s.cancels.Delete(id)
+		cancel()
 	}
-	return s.run(ctx, a, deadlineOf(header))
 }
 
 // serveCancel handles POST /v1/cancel and cancels a running call. The reply to that
--- a/emulator/target/faults_test.go
+++ b/emulator/target/faults_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -237,3 +239,29 @@
 		t.Errorf("%d calls still run after the cancellation, want 0", n)
 	}
 }
+
+// Guards against a cancellation that has no effect because it arrives just when the call
+// has started: the call keeps its slot until its end.
+func TestCancelOfStartingCall(t *testing.T) {
+	const calls = 300
+	s := startTestFleet(t, func(c *Config) { c.Timing = Timing{BaseMS: 5000} }).servers[0]
+	client := newClient(t)
+	for i := range calls {
+		done := make(chan response, 1)
+		id := fmt.Sprintf("c%d", i)
+		go func() {
+			done <- post(context.Background(), client, s, pathSearch, searchRequest(s, "amber"), HeaderCall, id)
+		}()
+		for end := time.Now().Add(waitLimit); running(s) == 0; runtime.Gosched() {
+			if time.Now().After(end) {
+				t.Fatalf("call %d of %d does not start", i, calls)
+			}
+		}
+		if cancel, ok := s.cancels.Load(id); ok {
+			cancel.(context.CancelFunc)()
+		} else {
+			t.Fatalf("call %d of %d runs and can't be cancelled", i, calls)
+		}
+		<-done
+	}
+}
