Bound the limit that a target may state

Found on reading: a limit of 1e308 per second made the times of an instance's slots infinite, and every lower limit that the target stated later had no effect. TestLimitBeyondAllNumbers failed before (300 requests in 3 s at a limit of 1 per second).

--- a/core/replica/limit.go
+++ b/core/replica/limit.go
@@ -15,6 +15,9 @@
 	// minLimit is the lowest limit that is applied. A target that is never asked
 	// can't tell that its limit has ended.
 	minLimit RequestRate = 0.25
+	// maxLimit is the highest limit that is applied. The times of the slots of a much
+	// higher one can't be computed.
+	maxLimit RequestRate = 1e6
 	// slotLifetime is how long a slot may be used.
 	slotLifetime = clock.Second
 )
@@ -88,7 +91,7 @@
 // slotInterval returns the time between two requests of this instance to the limited
 // target t, in milliseconds.
 func (s *Set) slotInterval(t *Target) float64 {
-	rate := limitShare * float64(max(t.limitRate, minLimit)) * s.share(t.Service)
+	rate := limitShare * float64(min(max(t.limitRate, minLimit), maxLimit)) * s.share(t.Service)
 	return float64(clock.Second) / rate
 }
 
--- a/core/replica/limit_test.go
+++ b/core/replica/limit_test.go
@@ -211,3 +211,29 @@
 		})
 	}
 }
+
+// TestLimitBeyondAllNumbers guards against a limit so high that the times of its slots
+// can't be computed, after which lower limits had no effect.
+func TestLimitBeyondAllNumbers(t *testing.T) {
+	s := newSet(1, listing("a", "z1"))
+	s.SetInstances(1, 0, anySender)
+	sent := 0
+	now := clock.Time(10_000)
+	for i := range 400 {
+		now = now.Add(10)
+		c := s.Pick("s", defaultService, nil, replica.First, now)
+		if c.Target == nil {
+			continue
+		}
+		s.Done(c.Target, replica.Result{Outcome: replica.Answered}, now)
+		rate := replica.RequestRate(1e308)
+		if i >= 100 {
+			rate = 1
+			sent++
+		}
+		s.ObserveLimit(c.Target, replica.StatedLimit{Kind: replica.LimitStated, Rate: rate}, now, now)
+	}
+	if allowed := allowedInWindow(1); sent > allowed || sent == 0 {
+		t.Errorf("%d requests in 3 s at a limit of 1 per second, want 1 to %d", sent, allowed)
+	}
+}
