Decline delegated requests beyond the number that an instance may have in progress

Found on reading: callers' requests are bounded, those of other instances were not, and isolated instances delegate all of theirs. TestDelegatedRequestsAreBounded failed before.

--- a/gateway/delegated.go
+++ b/gateway/delegated.go
@@ -18,11 +18,11 @@
 			answer = delegate.Answer{State: string(fanout.Failure), Missing: 1}
 		}
 	}()
-	table, isolated := g.tableAndIsolated()
+	table, isolated, full := g.delegationState()
 	if isolated {
 		return delegate.Answer{Declined: true, Isolated: true}
 	}
-	if g.stopping.Load() || table == nil || int64(table.Config.Version) != r.Version {
+	if full || g.stopping.Load() || table == nil || int64(table.Config.Version) != r.Version {
 		// The request must run with the configuration that is active at the
 		// delegating instance, neither an earlier nor a later one.
 		return delegate.Answer{Declined: true}
@@ -43,12 +43,13 @@
 	return q.delegatedAnswer()
 }
 
-// tableAndIsolated returns the routing table in force, nil for none, and whether this
-// instance reaches no target.
-func (g *Gateway) tableAndIsolated() (table *routing.Table, isolated bool) {
+// delegationState returns what decides whether this instance runs a request of another
+// one: the routing table in force, nil for none, whether it reaches no target, and whether
+// it has as many requests in progress as it may.
+func (g *Gateway) delegationState() (table *routing.Table, isolated, full bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table, g.targets.Isolated()
+	return g.table, g.targets.Isolated(), g.openCount >= maxOpenRequests
 }
 
 // delegatedAnswer returns the answer to the instance that delegated the request.
