Don't say that a request was not run after another instance may have run it

Found on reading: an isolated instance that had refused a request delegated it, the link to the other instance broke, and no further instance accepted; it then answered 503, which promises that the request was not run. It answers 502 now. Only requests that may be repeated could get there.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -26,6 +26,10 @@
 	case fanout.TimedOut:
 		w.WriteHeader(http.StatusGatewayTimeout)
 	case fanout.Refused, fanout.Expired:
+		if q.params.AlreadySent { // another instance may have run it since
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
 		q.refuse(w)
 	case fanout.Abandoned, fanout.Open:
 	}
--- a/gateway/isolated_test.go
+++ b/gateway/isolated_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"knapweedstall/core/placing"
 	"knapweedstall/gateway"
 	"knapweedstall/platform"
 )
@@ -178,3 +181,45 @@
 		})
 	}
 }
+
+// startBreakingPeer registers an instance that accepts each delegated request and breaks
+// the link without an answer, so that it may have run the request.
+func startBreakingPeer(t *testing.T, env *testEnv) {
+	t.Helper()
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		_, _, _ = c.Read(r.Context())
+		_ = c.CloseNow()
+	}))
+	t.Cleanup(peer.Close)
+	name, spec := platform.InstanceObject(placing.Instance{
+		ID: "breaking", Zone: "z1", Address: strings.TrimPrefix(peer.URL, "http://"), Capacity: 1,
+	})
+	env.store.Put(platform.KindInstances, name, spec)
+}
+
+// TestBrokenDelegationIsNoRefusal guards against an isolated instance that says that a
+// request was not run after another instance may have run it.
+func TestBrokenDelegationIsNoRefusal(t *testing.T) {
+	for path, method := range map[string]string{"/search/1": "GET", "/order/1": "POST"} {
+		t.Run(method+path, func(t *testing.T) {
+			env := newTestEnv(t)
+			cut := &partition{mode: refuse}
+			cut.on.Store(true)
+			in := env.start(nil, gateway.WithTargetDial(cut.dial))
+			startBreakingPeer(t, env)
+			time.Sleep(500 * time.Millisecond) // until the instance has the list
+			if path != "/search/1" {
+				in.do(t, "GET", "/search/first", "") // shows that the instance is isolated
+				time.Sleep(600 * time.Millisecond)   // until the other instance is asked again
+			}
+			got := in.do(t, method, path, "lamp").Status
+			if got != http.StatusBadGateway && got != http.StatusGatewayTimeout {
+				t.Errorf("status %d, want %d or %d, which promise nothing", got, http.StatusBadGateway, http.StatusGatewayTimeout)
+			}
+		})
+	}
+}
