--- a/io/delegate/delegate.go
+++ b/io/delegate/delegate.go
@@ -98,6 +98,9 @@
 	return "request not sent to " + e.Address + ": " + e.Cause.Error()
 }
 
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
 // TooLargeError reports a message that is larger than the other instance accepts.
 type TooLargeError struct{ Bytes int }
 
@@ -105,6 +108,3 @@
 func (e *TooLargeError) Error() string {
 	return "message of " + strconv.Itoa(e.Bytes) + " bytes is too large"
 }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
