Bound the wait for a probe by the request's time

Found on reading: a request that had failed at its deadline waited for a probe under way, up to 150 ms longer, although it could not be run again. TestProbeIsNotAwaitedBeyondDeadline failed before (1 s with a probe that does not end).

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -145,12 +145,14 @@
 
 // delegateInstead has another instance run the request that this one has failed to run
 // because it is isolated, and reports whether the caller has been answered. If a probe
-// is being made that will show whether the instance is isolated, it waits for it.
+// is being made that will show whether the instance is isolated, it waits for it while
+// there is time to run the request again.
 func (q *request) delegateInstead(w http.ResponseWriter, r *http.Request, table *routing.Table) bool {
-	if !q.failedUnanswered() {
+	limit := q.params.Deadline.Sub(q.g.clock.Now()) - minRerunTime
+	if limit <= 0 || !q.failedUnanswered() {
 		return false
 	}
-	q.g.awaitProbe(r.Context())
+	q.g.awaitProbe(r.Context(), limit)
 	return q.prepareRerun() && q.delegate(w, r, table)
 }
 
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -30,9 +30,9 @@
 	go g.probeUntilReached(wait)
 }
 
-// awaitProbe waits for the end of the probe that is being made, if there is one, at most
-// until the caller has left.
-func (g *Gateway) awaitProbe(caller context.Context) {
+// awaitProbe waits for the end of the probe that is being made, if there is one, for up to
+// limit and at most until the caller has left.
+func (g *Gateway) awaitProbe(caller context.Context, limit clock.Duration) {
 	g.mu.Lock()
 	ended := g.probeEnded
 	g.mu.Unlock()
@@ -40,7 +40,8 @@
 		return
 	}
 	select {
-	case <-ended: // after reachProbeTimeout at the latest
+	case <-ended:
+	case <-time.After(min(limit, reachProbeTimeout).Std()):
 	case <-caller.Done():
 	case <-g.draining:
 	}
