--- /dev/null
+++ b/review/standin/process.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// restartDelay is the time after which an ended process is started again.
+const restartDelay = 200 * time.Millisecond
+
+// machine runs one process of the tier, with the command of the deploy file.
+type machine struct {
+	name, zone                         string
+	callers, readiness, peers, metrics string
+	settings                           string // path
+	maxFDs                             int    // limit of the process; 0 for none
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	stopped bool
+}
+
+// deployment is a set of machines.
+type deployment struct {
+	dir      string
+	machines []*machine
+}
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// params are the settings that differ between cases; the others are those of the
+// template deploy/gateway.hujson.tmpl, filled in as for a small deployment.
+type params struct {
+	contactMS, configDeadlineMS, graceS int
+	budgetSlack                         int
+	quotas                              string // "" or the quotas section
+	maxFDs                              int    // limit of the descriptors of a process; 0 for none
+}
+
+// startDeployment starts one machine in each of the zones.
+func startDeployment(st *store, zones []string, p params) (*deployment, error) {
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{dir: dir}
+	_, err = d.add(st, zones, p)
+	return d, err
+}
+
+// add starts another machine in each of the zones. The machines of the first call are
+// those of a deployment that starts for the first time.
+func (d *deployment) add(st *store, zones []string, p params) ([]*machine, error) {
+	bootstrap := len(d.machines) == 0
+	var added []*machine
+	for _, zone := range zones {
+		m := &machine{
+			name: fmt.Sprintf("frontend-%s-%d", zone, len(d.machines)+1), zone: zone, maxFDs: p.maxFDs,
+			callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), metrics: freeAddress(),
+		}
+		m.settings = filepath.Join(d.dir, m.name+".hujson")
+		d.machines = append(d.machines, m)
+		added = append(added, m)
+	}
+	var seeds []string
+	for _, m := range d.machines[:min(3, len(d.machines))] {
+		seeds = append(seeds, fmt.Sprintf("%q", m.peers))
+	}
+	for _, m := range added {
+		text := fmt.Sprintf(`{
+  "instance": %q, "zone": %q,
+  "listen": {"callers": %q, "readiness": %q, "peers": %q, "metrics": %q},
+  "store": {"address": %q, "catchUpMs": %d, "configDueMs": %d},
+  "capacity": 0.272, "newDeployment": %v,
+  "peers": [%s],
+  "repeats": {"windowSeconds": 10, "ratio": 0.2, "slack": %d},
+  "shutdown": {"graceSeconds": %d},
+  %s
+}`, m.name, m.zone, m.callers, m.readiness, m.peers, m.metrics, st.address, p.contactMS, p.configDeadlineMS, bootstrap,
+			strings.Join(seeds, ","), p.budgetSlack, p.graceS, p.quotas)
+		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		if err := m.start(); err != nil {
+			return nil, err
+		}
+	}
+	return added, nil
+}
+
+// start starts a process, which is started again after it has ended.
+func (m *machine) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return nil
+	}
+	p := exec.Command("target/knapweedstall", "gateway", "-settings", m.settings)
+	if m.maxFDs > 0 { // the platform limits the descriptors of a process
+		p = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec target/knapweedstall gateway -settings %s", m.maxFDs, m.settings))
+	}
+	log, err := os.OpenFile(m.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	p.Stdout, p.Stderr = log, log
+	p.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	m.process, m.ended = p, ended
+	go func() {
+		_ = p.Wait()
+		_ = log.Close()
+		close(ended)
+		time.Sleep(restartDelay)
+		_ = m.start()
+	}()
+	return nil
+}
+
+// stop kills all processes and removes their files.
+func (d *deployment) stop() {
+	for _, m := range d.machines {
+		m.mu.Lock()
+		m.stopped = true
+		_ = m.process.Process.Kill()
+		ended := m.ended
+		m.mu.Unlock()
+		<-ended
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(d.dir)
+	}
+}
+
+// awaitReady waits until all machines report ready.
+func (d *deployment) awaitReady(limit time.Duration) error {
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, m := range d.machines {
+			resp, err := client.Get("http://" + m.readiness + "/v1/readyz")
+			if err != nil {
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == len(d.machines) {
+			return nil
+		}
+	}
+	return fmt.Errorf("not all machines are ready after %v", limit)
+}
+
+// lose ends the machine for good, without a signal that it could handle.
+func (m *machine) lose() {
+	m.mu.Lock()
+	m.stopped = true
+	_ = m.process.Process.Kill()
+	ended := m.ended
+	m.mu.Unlock()
+	<-ended
+}
+
+// openFDs returns the number of descriptors that the process has open.
+func (m *machine) openFDs() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.process.Process.Pid))
+	if err != nil {
+		return -1
+	}
+	return len(list)
+}
