--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 
 var cases = map[string]caseFunc{
 	"late-copy": lateCopy,
-	"lease":     lostLease,
+	"replaced":  replacedMachines,
 	"users":     lostMachines,
 }
 
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -33,6 +33,7 @@
 type deployment struct {
 	dir      string
 	machines []*machine
+	perZone  map[string]int // machines so far
 }
 
 // freeAddress returns a loopback address with a free port.
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir}
+	d := &deployment{dir: dir, perZone: map[string]int{}}
 	_, err = d.add(st, zones, p)
 	return d, err
 }
@@ -71,8 +72,9 @@
 	bootstrap := len(d.machines) == 0
 	var added []*machine
 	for _, zone := range zones {
+		d.perZone[zone]++
 		m := &machine{
-			name: fmt.Sprintf("frontend-%s-%d", zone, len(d.machines)+1), zone: zone, maxFDs: p.maxFDs,
+			name: fmt.Sprintf("frontend-%s-%d", zone, d.perZone[zone]), zone: zone, maxFDs: p.maxFDs,
 			callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), metrics: freeAddress(),
 		}
 		m.settings = filepath.Join(d.dir, m.name+".hujson")
@@ -174,14 +176,12 @@
 	return fmt.Errorf("not all machines are ready after %v", limit)
 }
 
-// lose ends the machine for good, without a signal that it could handle.
-func (m *machine) lose() {
+// kill ends the machine for good, without a signal that it could handle.
+func (m *machine) kill() {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.stopped = true
 	_ = m.process.Process.Kill()
-	ended := m.ended
-	m.mu.Unlock()
-	<-ended
 }
 
 // openFDs returns the number of descriptors that the process has open.
@@ -194,3 +194,20 @@
 	}
 	return len(list)
 }
+
+// memoryMB returns the most memory that the process has had resident so far.
+func (m *machine) memoryMB() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.process.Process.Pid))
+	if err != nil {
+		return -1
+	}
+	for line := range strings.SplitSeq(string(data), "\n") {
+		var kb int
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 {
+			return kb / 1024
+		}
+	}
+	return -1
+}
--- a/review/standin/users.go
+++ b/review/standin/users.go
@@ -186,8 +186,8 @@
 	time.Sleep(time.Until(start.Add(lossAt)))
 	if trouble {
 		rec.note("%s and %s are lost for good", d.machines[1].name, d.machines[2].name)
-		d.machines[1].lose()
-		d.machines[2].lose()
+		d.machines[1].kill()
+		d.machines[2].kill()
 	}
 	time.Sleep(time.Until(start.Add(addedAt)))
 	if trouble {
@@ -200,7 +200,7 @@
 		rec.note("%s and %s are added", added[0].name, added[1].name)
 	}
 	time.Sleep(time.Until(start.Add(judgedFrom)))
-	rec.note("%s has %d descriptors open, of %d; it is in rotation: %v", survivor.name, survivor.openFDs(), maxFDs, balance.inRotation(survivor))
+	rec.note("%s has %d descriptors open, of %d; it is in rotation: %v; memory: at most %d MB", survivor.name, survivor.openFDs(), maxFDs, balance.inRotation(survivor), survivor.memoryMB())
 	time.Sleep(time.Until(start.Add(length)))
 	rec.note("%s has %d descriptors open, of %d; it is in rotation: %v", survivor.name, survivor.openFDs(), maxFDs, balance.inRotation(survivor))
 	close(stop)
