--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]caseFunc{
 	"late-copy": lateCopy,
 	"replaced":  replacedMachines,
+	"crashes":   serverCrashes,
 	"users":     lostMachines,
 }
 
