--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"late-copy": lateCopy,
 	"replaced":  replacedMachines,
 	"crashes":   serverCrashes,
+	"holders":   twoHolders,
 	"users":     lostMachines,
 }
 
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,23 +37,40 @@
 	perZone  map[string]int // machines so far
 }
 
-// freeAddress returns a loopback address with a free port.
+// Ports of machines. They lie below those that the system gives to outgoing connections, so
+// that none of these takes a port between its choice and its use.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+// freeAddress returns a loopback address with a free port that it has not returned before.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if chosen[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			chosen[address] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
+// chosen holds the addresses that freeAddress has returned.
+var chosen = map[string]bool{}
+
 // params are the settings that differ between cases; the others are those of the
 // template deploy/gateway.hujson.tmpl, filled in as for a small deployment.
 type params struct {
 	contactMS, configDeadlineMS, graceS int
 	budgetSlack                         int
-	quotas                              string // "" or the quotas section
-	maxFDs                              int    // limit of the descriptors of a process; 0 for none
+	quotas                              string   // "" or the quotas section
+	maxFDs                              int      // limit of the descriptors of a process; 0 for none
+	network                             *network // nil: machines reach each other and the store directly
 }
 
 // startDeployment starts one machine in each of the zones.
@@ -81,11 +99,24 @@
 		d.machines = append(d.machines, m)
 		added = append(added, m)
 	}
-	var seeds []string
-	for _, m := range d.machines[:min(3, len(d.machines))] {
-		seeds = append(seeds, fmt.Sprintf("%q", m.peers))
+	if p.network != nil {
+		if err := p.network.connect(added); err != nil {
+			return nil, err
+		}
 	}
 	for _, m := range added {
+		storeAddress := st.address
+		if p.network != nil {
+			storeAddress = p.network.storeAddress(m)
+		}
+		var seeds []string
+		for _, other := range d.machines[:min(3, len(d.machines))] {
+			address := other.peers
+			if p.network != nil {
+				address = p.network.address(m, other)
+			}
+			seeds = append(seeds, fmt.Sprintf("%q", address))
+		}
 		text := fmt.Sprintf(`{
   "instance": %q, "zone": %q,
   "listen": {"callers": %q, "readiness": %q, "peers": %q, "metrics": %q},
@@ -95,7 +126,7 @@
   "repeats": {"windowSeconds": 10, "ratio": 0.2, "slack": %d},
   "shutdown": {"graceSeconds": %d},
   %s
-}`, m.name, m.zone, m.callers, m.readiness, m.peers, m.metrics, st.address, p.contactMS, p.configDeadlineMS, bootstrap,
+}`, m.name, m.zone, m.callers, m.readiness, m.peers, m.metrics, storeAddress, p.contactMS, p.configDeadlineMS, bootstrap,
 			strings.Join(seeds, ","), p.budgetSlack, p.graceS, p.quotas)
 		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 			return nil, err
