--- a/review/standin/users.go
+++ b/review/standin/users.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -107,6 +108,10 @@
 		judgedFrom = 41 * time.Second
 		length     = 75 * time.Second
 	)
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 3*users {
+		return false, fmt.Errorf("the users, servers and requesters need %d descriptors, the limit is %d", 3*users, limit.Cur)
+	}
 	st, err := startStore()
 	if err != nil {
 		return false, err
