--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,8 +21,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD TROUBLE, which is 0 for a run without the disruption")
 		os.Exit(2)
 	}
 	rec, err := newRecord(os.Args[2])
@@ -30,7 +30,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	broken, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	broken, err := cases[os.Args[1]](rec, os.Args[3] != "0")
 	if err != nil {
 		rec.note("the case could not run: %v", err)
 	}
