--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,8 @@
 	"replaced":  replacedMachines,
 	"holders":   twoHolders,
 	"users":     lostMachines,
+	"turned":    turnedAway,
+	"survivors": survivors,
 }
 
 func main() {
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -71,6 +71,8 @@
 	quotas                              string   // "" or the quotas section
 	maxFDs                              int      // limit of the descriptors of a process; 0 for none
 	network                             *network // nil: machines reach each other and the store directly
+	// storeAddress returns the address at which a machine reaches the store; nil: its own one.
+	storeAddress func(*machine) (string, error)
 }
 
 // startDeployment starts one machine in each of the zones.
@@ -109,6 +111,12 @@
 		if p.network != nil {
 			storeAddress = p.network.storeAddress(m)
 		}
+		if p.storeAddress != nil {
+			var err error
+			if storeAddress, err = p.storeAddress(m); err != nil {
+				return nil, err
+			}
+		}
 		var seeds []string
 		for _, other := range d.machines[:min(3, len(d.machines))] {
 			address := other.peers
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -33,6 +33,7 @@
 	rec               *record
 
 	mu     sync.Mutex
+	conns  map[net.Conn]bool
 	taken  int     // requests that run or wait
 	extra  float64 // share of the answers of which another copy comes late
 	runs   []runOfServer
@@ -47,7 +48,7 @@
 	}
 	s := &server{
 		id: id, service: service, zone: zone, work: work, queue: queue, slots: make(chan struct{}, slots),
-		born: time.Now().UnixMilli(), listener: l, store: st, rec: rec,
+		born: time.Now().UnixMilli(), listener: l, store: st, rec: rec, conns: map[net.Conn]bool{},
 	}
 	s.register()
 	go s.accept(l)
@@ -81,8 +82,26 @@
 	s.extra = share
 }
 
+// end ends the server's process: it accepts no connections any more and closes all.
+func (s *server) end() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 func (s *server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 	reader := bufio.NewReader(c)
 	late := "" // a second copy of the previous answer
 	for {
