--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 trouble="${TROUBLE:-1}"
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/knapweedstall ] || exit 2
-exec target/review-standin holders review/4/record.txt "$trouble"
+exec target/review-standin users review/4/record.txt "$trouble"
