--- a/review/standin/survivors.go
+++ b/review/standin/survivors.go
@@ -35,7 +35,7 @@
 	return nil
 }
 
-// leave takes a server away as a planned shutdown does: it reports that it is draining,
+// drainAndEnd takes a server away as a planned shutdown does: it reports that it is draining,
 // serves on for drainMs and a little longer, and then ends.
 func (s *server) drainAndEnd(drain time.Duration) {
 	s.store.write("servers", s.id, map[string]any{
