Don't send a request twice on one connection to a target

Cause: when all targets of a service have refused a request, it is sent again to one of them, on the connection that was used last. A late copy of the first refusal bears the same id and counts as the answer to the second send, which the target runs.

Evidence: a trial build that logs the connection of each send without success. All 7 requests that were refused and ran (7 of 7, unchanged case) had their last refusal on a connection that had carried the same request, 118 to 236 us after the send, where the target's record has a second copy. Ruled out by the same lines: a repeat after a failed write, two sends in flight, an answer with another id.

Fix: a connection remembers the requests that it has carried and that were answered without success, until they can't be sent any more, and is not used for them again.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -274,7 +274,8 @@
 // gauges returns the values of the metrics that are not counted by request.
 func (g *Gateway) gauges() gauges {
 	limited, lowest := g.overload.limits()
-	v := gauges{groupsLimited: limited, overloadLimit: lowest, viewAge: g.views.age(), connectionsOpened: g.pool.Opened(), linesDropped: g.droppedLines()}
+	v := gauges{groupsLimited: limited, overloadLimit: lowest, viewAge: g.views.age(), connectionsOpened: g.pool.Opened(),
+		connsBypassed: g.pool.Bypassed(), answersSkipped: g.pool.Skipped(), linesDropped: g.droppedLines()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v.rollouts = g.rolloutCounts()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -38,6 +38,8 @@
 	delegated         tally.Counter // requests that other instances ran
 	sourcesLost       tally.Counter // losses of the store or of a followed instance of this zone
 	connectionsOpened tally.Counter
+	connsBypassed     tally.Counter // idle connections not used since they had carried the same request
+	answersSkipped    tally.Counter // answers to earlier requests, from targets
 	linesDropped      tally.Counter
 	panics            tally.Counter // requests that a panic failed
 	targetsLeaving    tally.Counter // targets whose answers state that they are leaving
@@ -51,7 +53,7 @@
 	groupsLimited     tally.Gauge // groups of services with a limit of admitted requests
 	overloadLimit     tally.Gauge // lowest of these limits; 0 for none
 
-	lastConnects, lastDropped int64
+	lastConnects, lastDropped, lastBypassed, lastSkipped int64
 }
 
 func newCounters() *counters {
@@ -74,6 +76,8 @@
 		delegated:         scope.Counter("requests_delegated"),
 		sourcesLost:       scope.Counter("sources_lost"),
 		connectionsOpened: scope.Counter("target_connections_opened"),
+		connsBypassed:     scope.Counter("target_connections_bypassed"),
+		answersSkipped:    scope.Counter("target_answers_skipped"),
 		linesDropped:      scope.Counter("log_lines_dropped"),
 		panics:            scope.Counter("panics"),
 		targetsLeaving:    scope.Counter("targets_leaving"),
@@ -133,6 +137,8 @@
 	groupsLimited     int
 	overloadLimit     overload.Rate
 	connectionsOpened int64          // in total
+	connsBypassed     int64          // in total
+	answersSkipped    int64          // in total
 	linesDropped      int64          // in total
 	rollouts          map[string]int // orders, by phase
 }
@@ -156,5 +162,8 @@
 	}
 	c.connectionsOpened.Inc(v.connectionsOpened - c.lastConnects)
 	c.linesDropped.Inc(v.linesDropped - c.lastDropped)
+	c.connsBypassed.Inc(v.connsBypassed - c.lastBypassed)
+	c.answersSkipped.Inc(v.answersSkipped - c.lastSkipped)
 	c.lastConnects, c.lastDropped = v.connectionsOpened, v.linesDropped
+	c.lastBypassed, c.lastSkipped = v.connsBypassed, v.answersSkipped
 }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +40,35 @@
 	opened      clock.Time
 	idleSince   clock.Time
 	idleTimeout clock.Duration // how long it may be reused after idleSince
+	carried     []carried      // requests that must not be sent on it again
+}
+
+// carried is a request that was sent on a connection and that the target did not answer
+// with success, so that it may be sent to the target again. A copy of that answer may
+// come late, and the request's id does not tell whether an answer is such a copy or the
+// answer to the later send.
+type carried struct {
+	request uint64     // hash of its id; an equal hash of another id only costs a connection
+	until   clock.Time // it is not sent any more from then on
+}
+
+// carriedMargin is added to the time that a request has left. Another instance that
+// delegates the request to this one counts its time from another moment.
+const carriedMargin = clock.Second
+
+// carry notes that r, which has the time left, may be sent to the target again.
+func (c *conn) carry(r *Request, now clock.Time, left clock.Duration) {
+	c.carried = slices.DeleteFunc(c.carried, func(old carried) bool { return !now.Before(old.until) })
+	c.carried = append(c.carried, carried{topology.Hash64(r.ID), now.Add(left + carriedMargin)})
+}
+
+// maySend reports whether r may be sent on the connection.
+func (c *conn) maySend(r *Request, now clock.Time) bool {
+	if len(c.carried) == 0 {
+		return true
+	}
+	hash := topology.Hash64(r.ID)
+	return !slices.ContainsFunc(c.carried, func(old carried) bool { return old.request == hash && now.Before(old.until) })
 }
 
 // Pool keeps idle connections to targets. It keeps no more of them than were in use
@@ -48,9 +78,11 @@
 	dialContext DialFunc
 	large       reservation // of the bodies that are being read
 
-	mu     sync.Mutex
-	idle   map[topology.TargetID][]*conn // most recently used last
-	opened int64
+	mu       sync.Mutex
+	idle     map[topology.TargetID][]*conn // most recently used last
+	opened   int64
+	bypassed int64
+	skipped  int64
 }
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -80,20 +112,36 @@
 	return p.opened
 }
 
-// takeIdle removes a usable idle connection to the target from the pool and returns
-// it, or nil if there is none.
-func (p *Pool) takeIdle(id topology.TargetID) *conn {
+// Bypassed returns how many times so far an idle connection was not used for a request
+// because it had carried the same request before.
+func (p *Pool) Bypassed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bypassed
+}
+
+// Skipped returns the number of answers to earlier requests that were skipped so far.
+func (p *Pool) Skipped() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.skipped
+}
+
+func (p *Pool) countSkipped() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.skipped++
+}
+
+// takeIdle removes a usable idle connection to the target, on which r may be sent, from
+// the pool and returns it, or nil if there is none.
+func (p *Pool) takeIdle(id topology.TargetID, r *Request) *conn {
 	now := p.clock.Now()
 	for {
-		p.mu.Lock()
-		list := p.idle[id]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c := p.removeIdle(id, r, now)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[id] = list[:len(list)-1]
-		p.mu.Unlock()
 		if now.Sub(c.idleSince) < c.idleTimeout && c.usable() {
 			return c
 		}
@@ -101,6 +149,22 @@
 	}
 }
 
+// removeIdle removes the most recently used idle connection to the target on which r may
+// be sent from the pool and returns it, or nil if there is none.
+func (p *Pool) removeIdle(id topology.TargetID, r *Request, now clock.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[id]
+	for i, c := range slices.Backward(list) {
+		if c.maySend(r, now) {
+			p.idle[id] = slices.Delete(list, i, i+1)
+			return c
+		}
+		p.bypassed++
+	}
+	return nil
+}
+
 // putIdle adds c to the idle connections.
 func (p *Pool) putIdle(c *conn) {
 	c.idleSince = p.clock.Now()
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -53,7 +53,7 @@
 // connection if the idle connection that was used has accepted none of its bytes.
 func (p *Pool) Send(ctx context.Context, r *Request, id topology.TargetID, address string, remaining clock.Duration) Result {
 	sent := p.clock.Now()
-	c := p.takeIdle(id)
+	c := p.takeIdle(id, r)
 	for {
 		fresh := c == nil
 		if fresh {
@@ -113,11 +113,14 @@
 	default:
 		reusable = false
 	}
-	if reusable {
-		p.putIdle(c)
-	} else {
+	if !reusable {
 		c.close()
+		return res, false
+	}
+	if res.Outcome != replica.Answered {
+		c.carry(r, p.clock.Now(), left)
 	}
+	p.putIdle(c)
 	return res, false
 }
 
@@ -150,12 +153,14 @@
 			if skipped == maxSkippedAnswers {
 				return Result{Outcome: replica.Lost, Err: &MismatchedAnswerError{ID: reply.RequestID}}, false
 			}
+			p.countSkipped()
 			continue
 		}
 		if d, ok := parseKeepAlive(resp.Header); ok {
 			c.idleTimeout = d
 		}
-		reusable = skipped == 0 && !resp.Close && c.reader.Buffered() == 0
+		// A late copy of an answer without an id would be taken for the next answer.
+		reusable = skipped == 0 && reply.RequestID != "" && !resp.Close && c.reader.Buffered() == 0
 		res = classify(resp, reply, body)
 		res.Answer.Target = c.target
 		if !reply.Replaced { // else another target has answered
