Read the store beside the search for a source

The machines acted on no configuration after an outage of the store of 3 s.

Cause: an instance that reads the store tries the instances of its zone that precede it in the same goroutine, one after the other, 0.5 s each. With 17 silent ones or more the first is due again before the last has been tried, so it never returns to the store.

Evidence: the logs of the unchanged case show no line about sources after "store does not answer" while the age of the copies grows to 62 s; a stack dump in that state shows watchUntilLost in followNextCandidate and no call of the store under way, which rules out dead connections to the store and the wait for a turn after the outage.

Fix: the search goes on beside the reading. Only the turn after an outage waits for the end of a search, and for 0.25 s at most.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,7 @@
 	pool         *upstream.Pool
 	callers      *ingress.Server
 	stopping     atomic.Bool
+	syncing      atomic.Bool   // startSync is getting copies from another instance
 	draining     chan struct{} // closed when requests in progress must end
 	peersChanged chan struct{} // signals that peers has changed; holds one signal
 
--- /dev/null
+++ b/gateway/silentpeers_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"knapweedstall/core/placing"
+	"knapweedstall/core/topology"
+	"knapweedstall/platform"
+)
+
+// addSilentInstances registers n instances of zone z1 that precede the others as sources
+// and that accept connections and send nothing, like instances without power.
+func (env *testEnv) addSilentInstances(n int) {
+	env.t.Helper()
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			env.t.Fatal(err)
+		}
+		env.t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(io.Discard, c); _ = c.Close() }()
+			}
+		}()
+		name, spec := platform.InstanceObject(placing.Instance{
+			ID: topology.InstanceID(fmt.Sprintf("silent-%d", i)), Zone: "z1", Address: l.Addr().String(), Capacity: 2,
+		})
+		env.store.Put(platform.KindInstances, name, spec)
+	}
+}
+
+// TestSilentInstancesDontKeepFromStore guards against an instance that never reads the
+// store again after an outage, because it tries instances of its zone that are gone for
+// good, one after the other.
+func TestSilentInstancesDontKeepFromStore(t *testing.T) {
+	const (
+		silent  = 40
+		outage  = 2 * time.Second
+		catchUp = 4 * time.Second // as in the settings
+	)
+	env := newTestEnv(t)
+	env.addSilentInstances(silent)
+	in := env.start(nil)
+	time.Sleep(5 * time.Second) // the instance watches the store and looks for a source
+	for version := 2; version <= 3; version++ {
+		env.store.SetUnavailable(true)
+		time.Sleep(outage)
+		env.configure(version, version%2 != 0)
+		env.store.SetUnavailable(false)
+		want := http.StatusNotFound
+		if version%2 != 0 {
+			want = http.StatusOK
+		}
+		inForce := false
+		for end := time.Now().Add(catchUp); !inForce && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			inForce = in.do(t, "GET", "/plain/1", "").Status == want
+		}
+		if !inForce {
+			t.Fatalf("version %d is not in force %v after the outage", version, catchUp)
+		}
+	}
+}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -22,6 +22,9 @@
 	// startPollPeriod is the same for an instance without copies, which can't serve.
 	startPollPeriod = 300 * clock.Millisecond
 	maxNeighbours   = 2 // number of instances of other zones that a watching instance follows
+	// maxTurnSearch is how long an instance whose turn it is to watch the store waits for
+	// the end of a search for a candidate. One that is up answers within some milliseconds.
+	maxTurnSearch = 250 * clock.Millisecond
 )
 
 // syncCopies keeps the copies up to date until ctx is done. Package source decides
@@ -69,6 +72,41 @@
 	return g.chooser.Next(complete, g.clock.Now())
 }
 
+// sourceSearch is the search for a candidate to follow that goes on beside the reading of
+// the store. An attempt at an instance without power takes as long as a timeout, and there
+// may be many of these, so nothing waits for the end of a search without a bound.
+type sourceSearch struct{ begun chan chan struct{} }
+
+func newSourceSearch() *sourceSearch { return &sourceSearch{begun: make(chan chan struct{}, 1)} }
+
+// begin begins a search, unless one is waiting to begin. It returns a channel that is
+// closed when the search has ended without a candidate.
+func (s *sourceSearch) begin() <-chan struct{} {
+	ended := make(chan struct{})
+	select {
+	case s.begun <- ended:
+	default:
+	}
+	return ended
+}
+
+// searchSource tries the candidates each time that a search begins, until one has been
+// followed and lost again or ctx is done. It calls onFollowing when a candidate has turned
+// out to be up to date.
+func (g *Gateway) searchSource(ctx context.Context, search *sourceSearch, onFollowing func()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ended := <-search.begun:
+			if g.followNextCandidate(ctx, onFollowing) {
+				return
+			}
+			close(ended)
+		}
+	}
+}
+
 // followNextCandidate follows the next candidate that may be tried, if there is one,
 // while the instance reads the store. It calls onFollowing when the candidate has
 // turned out to be up to date, and returns whether it has.
@@ -106,89 +144,100 @@
 	return outcome == source.Lost
 }
 
-// watchStore waits until the store answers and watches it until a candidate can be
-// followed instead. It returns when that candidate has been lost again or ctx is
-// done.
+// watchStore reads the store and meanwhile looks for a candidate to follow instead. It
+// returns when that candidate has been lost again or ctx is done.
 func (g *Gateway) watchStore(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	for i := range maxNeighbours {
 		go g.followNeighbour(ctx, i)
 	}
-	for ctx.Err() == nil {
-		if g.waitForStore(ctx) || g.watchUntilLost(ctx) {
-			break
-		}
-	}
+	reading, stopReading := context.WithCancel(ctx)
+	search, ended := newSourceSearch(), make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.searchSource(ctx, search, stopReading)
+	}()
+	g.readStore(reading, search)
+	<-ended
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.chooser.WatchEnded(g.clock.Now())
 }
 
-// watchUntilLost watches the store until the store no longer answers. It returns true
-// if a candidate has been followed instead and lost again, or ctx is done.
-func (g *Gateway) watchUntilLost(ctx context.Context) bool {
-	watchCtx, stop := context.WithCancel(ctx)
-	defer stop()
+// readStore polls the store while it does not answer, and watches it while it does, until
+// ctx is done. It waits for no other instance.
+func (g *Gateway) readStore(ctx context.Context, search *sourceSearch) {
+	for ctx.Err() == nil {
+		g.waitForStore(ctx, search)
+		g.watchUntilLost(ctx, search)
+	}
+}
+
+// watchUntilLost watches the store until the store no longer answers or ctx is done.
+func (g *Gateway) watchUntilLost(ctx context.Context, search *sourceSearch) {
+	if ctx.Err() != nil {
+		return
+	}
 	g.log.Info("watching the store")
 	lost := make(chan struct{})
 	go func() {
 		defer close(lost)
-		g.watchKinds(watchCtx)
+		g.watchKinds(ctx)
 	}()
 	timer := time.NewTimer(g.jitter(selfWatchPeriod).Std())
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return true
+			return
 		case <-lost:
-			return false
+			return
 		case <-timer.C:
-			if g.followNextCandidate(ctx, stop) {
-				return true
-			}
+			search.begin()
 			timer.Reset(g.jitter(selfWatchPeriod).Std())
 		}
 	}
 }
 
-// waitForStore waits until the store answers. It polls the store with one small call,
-// and meanwhile looks for a candidate to follow and, while copies are missing, for any
-// instance that has them. It returns false when the store answers, and true when a
-// candidate has been followed and lost again or ctx is done.
-func (g *Gateway) waitForStore(ctx context.Context) bool {
+// waitForStore waits until the store answers or ctx is done. It polls the store with one
+// small call, and meanwhile looks for a candidate to follow and, while copies are missing,
+// for any instance that has them.
+func (g *Gateway) waitForStore(ctx context.Context, search *sourceSearch) {
 	for failed := false; ctx.Err() == nil; failed = true {
 		_, err := g.pingStore(ctx)
 		if err == nil {
-			return failed && g.waitTurn(ctx)
+			if failed {
+				g.waitTurn(ctx, search)
+			}
+			return
 		}
 		g.log.Debug("store does not answer", "err", err)
+		search.begin()
 		pause := storePollPeriod
 		if !g.views.complete() {
-			g.syncFromPeer(ctx)
+			g.startSync(ctx)
 			pause = startPollPeriod
 		}
-		if g.followNextCandidate(ctx, func() {}) {
-			return true
-		}
 		sleep(ctx, g.jitter(pause))
 	}
-	return true
 }
 
 // waitTurn waits, after the store has become available again, until it is this
-// instance's turn to watch it. It returns whether a candidate has been followed instead
-// and lost again.
-func (g *Gateway) waitTurn(ctx context.Context) bool {
+// instance's turn to watch it. Until then, a candidate may turn out to be up to date.
+func (g *Gateway) waitTurn(ctx context.Context, search *sourceSearch) {
 	g.mu.Lock()
 	wait := g.chooser.StoreAvailable()
 	g.mu.Unlock()
 	if wait == 0 {
-		return false
+		return
 	}
 	sleep(ctx, wait)
-	return g.followNextCandidate(ctx, func() {})
+	select {
+	case <-ctx.Done():
+	case <-search.begin():
+	case <-time.After(maxTurnSearch.Std()):
+	}
 }
 
 // followPeer follows another instance until it stops sending, its connection ends or
@@ -276,6 +325,18 @@
 	}
 }
 
+// startSync starts syncFromPeer unless it is going on. It does not wait for it, since the
+// other instance may not answer.
+func (g *Gateway) startSync(ctx context.Context) {
+	if !g.syncing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.syncing.Store(false)
+		g.syncFromPeer(ctx)
+	}()
+}
+
 // randomPeer returns the address of a random other instance, or "".
 func (g *Gateway) randomPeer() string {
 	g.mu.Lock()
