Bound the wait for readers that the store turns away

Cause: an instance that has found three instances before it reachable but not up to date takes the store to be away for all, and waits for them without a bound.

Evidence: the log of such a machine has its two sources lost, and then nothing for 8.2 s, neither a failed call nor a new source; in the zones where one reader was turned away all others read the store within 0.8 s. Ruled out with it: failing calls of its own, and a configuration that is known and not applied.

Fix: the instances after the readers probe the store in turn, with one call each, ever more rarely; one that the store answers watches it and is followed. After 10 s to 12 s an instance calls the store whatever the others do. While it waits, it takes newer objects from a random other instance each second. Readers other than the first poll each 2 s instead of 0.8 s, so that an outage of 9 s costs 370 calls at 1,000 instances, 350 before.

--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -12,10 +12,12 @@
 package source
 
 import (
+	"math"
 	"slices"
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/placing"
+	"knapweedstall/core/topology"
 )
 
 // Parameters of the choice.
@@ -50,6 +52,24 @@
 	maxLoadTime = 4 * clock.Second
 	// pollPeriod is the time between two looks for a source while the instance waits.
 	pollPeriod = 250 * clock.Millisecond
+	// turnUnit is the time without a source after which the first instance after the
+	// readers probes the store. The n-th one waits n*n times as long.
+	turnUnit = 40 * clock.Millisecond
+	// turnLag is the time after the turn of an instance at which others look whether it is
+	// up to date, and maxLooks the number of instances that are not up to date at which one
+	// looks.
+	turnLag  = 250 * clock.Millisecond
+	maxLooks = 11
+	// maxStaleWait bounds the time for which an instance waits for others that are not up
+	// to date. The instances of a zone that reach it probe the store within staleWaitSpread,
+	// and again after as long.
+	maxStaleWait    = 10 * clock.Second
+	staleWaitSpread = 2 * clock.Second
+	// firstPollPeriod is the time between two polls of a store that does not answer by the
+	// first instance of a zone that can be reached, and readerPollPeriod by the other
+	// readers.
+	firstPollPeriod  = 800 * clock.Millisecond
+	readerPollPeriod = 2 * clock.Second
 )
 
 // Action is what an instance does next to keep its copies up to date.
@@ -60,6 +80,7 @@
 	Wait   Action = iota // wait for Step.Wait
 	Follow               // follow the instance at Step.Address
 	Watch                // read and watch the store
+	Probe                // call the store once, and read and watch it if it answers
 )
 
 // Step is the next step of an instance.
@@ -83,6 +104,7 @@
 type attempt struct {
 	outcome  Outcome
 	failures int        // consecutive attempts with this outcome
+	endedAt  clock.Time // when the latest one ended
 	retryAt  clock.Time // it is not tried before
 }
 
@@ -92,6 +114,7 @@
 	candidates []string // addresses of the instances that may be its source, first choice first
 	attempts   map[string]*attempt
 	lostAt     clock.Time // since when the instance has had no source
+	probeAt    clock.Time // it does not probe the store before
 }
 
 // New returns the Chooser of the instance self, which knows no other instance.
@@ -124,9 +147,14 @@
 		return Step{Action: Watch}
 	}
 	waited := now.Sub(c.lostAt)
-	address, reached := c.candidate(now)
+	address, reached := c.candidate(min(readers+turns(waited-turnLag), maxLooks), now)
 	if reached >= readers {
 		switch {
+		case c.isTurn(waited) && !now.Before(c.probeAt):
+			if reader := c.unseenReader(now); reader != "" {
+				return Step{Action: Follow, Address: reader}
+			}
+			return Step{Action: Probe}
 		case address != "":
 			return Step{Action: Follow, Address: address}
 		case complete || waited < maxLoadTime:
@@ -144,17 +172,81 @@
 	return Step{Action: Watch}
 }
 
+// turns returns how many instances after the readers have had their turn to probe the
+// store.
+func turns(waited clock.Duration) int {
+	return int(math.Sqrt(float64(max(waited, 0)) / float64(turnUnit)))
+}
+
+// isTurn reports whether the instance, which has had no source for the time waited, probes
+// the store itself.
+func (c *Chooser) isTurn(waited clock.Duration) bool {
+	return c.reachable() < readers+turns(waited) || waited >= maxStaleWait+c.spread()
+}
+
+// unseenReader returns the address of a reader that was not up to date when it was tried
+// last, but was not tried just now; "" if there is none.
+func (c *Chooser) unseenReader(now clock.Time) string {
+	seen := 0
+	for _, candidate := range c.candidates {
+		a := c.attempts[candidate]
+		if a == nil || a.outcome != Stale {
+			continue
+		}
+		if now.Sub(a.endedAt) > turnLag {
+			return candidate
+		}
+		if seen++; seen == readers {
+			break
+		}
+	}
+	return ""
+}
+
+// spread returns the instance's part of staleWaitSpread.
+func (c *Chooser) spread() clock.Duration {
+	return clock.Duration(topology.Hash64(string(c.self.ID)) % uint64(staleWaitSpread))
+}
+
+// reachable returns the number of candidates without those that could not be reached when
+// they were tried last.
+func (c *Chooser) reachable() int {
+	n := len(c.candidates)
+	for _, a := range c.attempts {
+		if a.outcome == Unreachable {
+			n--
+		}
+	}
+	return n
+}
+
+// ProbeFailed reports that the store did not answer a probe at now.
+func (c *Chooser) ProbeFailed(now clock.Time) { c.probeAt = now.Add(maxStaleWait + c.spread()) }
+
+// PollPause returns the time until an instance that reads a store that does not answer
+// calls it again, and whether it goes on doing so. If not, the readers of its zone can be
+// reached, and it waits for them.
+func (c *Chooser) PollPause(now clock.Time) (pause clock.Duration, goOn bool) {
+	switch _, reached := c.candidate(readers, now); {
+	case reached == 0:
+		return firstPollPeriod, true
+	case reached < readers:
+		return readerPollPeriod, true
+	}
+	return 0, false
+}
+
 // Candidate returns the address of a candidate to try at now, for an instance that
 // watches the store but would rather follow one. It returns "" if there is none.
 func (c *Chooser) Candidate(now clock.Time) string {
-	address, _ := c.candidate(now)
+	address, _ := c.candidate(readers, now)
 	return address
 }
 
 // candidate returns the first candidate that may be tried at now, or "", and how many
 // candidates could be reached when they were tried last but were not up to date. It
-// looks no further than the first readers of these, which read the store.
-func (c *Chooser) candidate(now clock.Time) (address string, reached int) {
+// looks no further than the first limit of these.
+func (c *Chooser) candidate(limit int, now clock.Time) (address string, reached int) {
 	for _, candidate := range c.candidates {
 		a := c.attempts[candidate]
 		if address == "" && (a == nil || !now.Before(a.retryAt)) {
@@ -163,7 +255,7 @@
 		if a != nil && a.outcome == Stale {
 			reached++
 		}
-		if reached == readers {
+		if reached == limit {
 			break
 		}
 	}
@@ -184,6 +276,7 @@
 	if o == Lost {
 		c.lostAt, a.failures = now, 0
 	}
+	a.endedAt = now
 	a.retryAt = now.Add(min(delay<<min(a.failures, 8), most))
 	a.failures++
 }
--- a/core/source/simulation_test.go
+++ b/core/source/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"knapweedstall/core/clock"
@@ -15,8 +16,9 @@
 const (
 	simStep        = 10 * clock.Millisecond
 	darkDialTime   = 300 * clock.Millisecond // time until an instance that is powered off counts as unreachable
-	simPollPeriod  = 800 * clock.Millisecond // time between two calls to a store that does not answer
+	simPollPeriod  = 800 * clock.Millisecond // time between two calls of a reader to a store that does not answer, at least
 	simWatchPeriod = 4 * clock.Second        // time after which a watching instance looks for a source
+	simTurnSearch  = 250 * clock.Millisecond // time for which an instance whose turn it is looks for a source
 )
 
 // member is one instance of the simulated fleet.
@@ -28,11 +30,13 @@
 	blocked  bool // the store does not answer it
 	watching bool // it polls or watches the store
 	source   *member
-	asked    *member // candidate that it is connecting to
+	asked    *member    // candidate that it is connecting to
+	askedAt  clock.Time // when the attempt ends
 	wakeAt   clock.Time
-	pollAt   clock.Time // when it next calls a store that has not answered
-	retry    bool       // it tries its candidates before it watches a store that is available again
-	fresh    bool       // its copies are up to date
+	looking  bool // it tries its candidates while it reads the store
+	failed   bool // the latest call to the store has failed
+	retry    bool // it tries its candidates before it watches a store that is available again
+	fresh    bool // its copies are up to date
 }
 
 // fleet simulates instances that choose their sources, without a network.
@@ -78,7 +82,7 @@
 	all := f.instances()
 	for _, m := range f.members {
 		if condition(m) {
-			m.alive, m.complete, m.fresh, m.watching, m.source, m.asked = true, false, false, false, nil, nil
+			m.alive, m.complete, m.fresh, m.watching, m.looking, m.source, m.asked = true, false, false, false, false, nil, nil
 			m.wakeAt = f.now.Add(clock.Duration(f.random.IntN(300)))
 			m.chooser = source.New(m.Instance)
 			m.chooser.SetInstances(all)
@@ -111,6 +115,9 @@
 func (f *fleet) answers(m *member) bool { return !f.storeDown && !m.blocked }
 
 func (f *fleet) step(m *member) {
+	if m.asked != nil && !f.now.Before(m.askedAt) {
+		f.connected(m)
+	}
 	switch {
 	case m.source != nil:
 		m.fresh = m.source.alive && m.source.fresh
@@ -118,17 +125,18 @@
 			m.chooser.Ended(m.source.Address, source.Lost, f.now)
 			m.source, m.wakeAt = nil, f.now
 		}
-	case f.now.Before(m.wakeAt):
-	case m.asked != nil:
-		f.connected(m)
+		return
 	case m.watching:
-		f.watch(m)
-	default:
+		f.look(m)
+		if m.fresh && !f.answers(m) {
+			m.fresh, m.wakeAt = false, f.now
+		}
+		if !f.now.Before(m.wakeAt) {
+			f.watch(m)
+		}
+	case m.asked == nil && !f.now.Before(m.wakeAt):
 		f.act(m, m.chooser.Next(m.complete, f.now))
 	}
-	if m.watching && m.fresh && !f.answers(m) {
-		m.fresh, m.wakeAt = false, f.now
-	}
 }
 
 func (f *fleet) act(m *member, s source.Step) {
@@ -136,8 +144,16 @@
 	case source.Wait:
 		m.wakeAt = f.now.Add(s.Wait)
 	case source.Watch:
-		m.watching = true
+		m.watching, m.failed = true, false
 		f.watch(m)
+	case source.Probe:
+		if f.answers(m) {
+			m.watching, m.failed = true, false
+			f.watch(m)
+			return
+		}
+		f.polls++
+		m.chooser.ProbeFailed(f.now)
 	case source.Follow:
 		f.connect(m, s.Address)
 	}
@@ -145,9 +161,9 @@
 
 func (f *fleet) connect(m *member, address string) {
 	m.asked = f.byAddress[address]
-	m.wakeAt = f.now.Add(simStep)
+	m.askedAt = f.now.Add(simStep)
 	if !m.asked.alive {
-		m.wakeAt = f.now.Add(darkDialTime)
+		m.askedAt = f.now.Add(darkDialTime)
 	}
 }
 
@@ -164,42 +180,46 @@
 		m.chooser.Ended(candidate.Address, source.Stale, f.now)
 		return
 	}
-	m.source, m.watching, m.fresh = candidate, false, true
+	m.source, m.watching, m.fresh, m.looking = candidate, false, true, false
+}
+
+// look makes a step of the search for a source beside the reading of the store.
+func (f *fleet) look(m *member) {
+	if !m.looking || m.asked != nil {
+		return
+	}
+	if address := m.chooser.Candidate(f.now); address != "" {
+		f.connect(m, address)
+		return
+	}
+	m.looking = false
 }
 
 // watch makes a step of a member that reads the store.
 func (f *fleet) watch(m *member) {
-	if f.answers(m) {
-		if m.pollAt != 0 { // the store has not answered before
-			m.pollAt = 0
-			m.wakeAt = f.now.Add(m.chooser.StoreAvailable())
-			m.retry = true
-			return
-		}
-		if address := m.chooser.Candidate(f.now); m.retry && address != "" {
-			f.connect(m, address)
+	switch {
+	case !f.answers(m):
+		f.polls++
+		m.looking, m.failed = true, true
+		pause, goOn := m.chooser.PollPause(f.now)
+		if !goOn {
+			m.watching, m.looking, m.asked, m.wakeAt = false, false, nil, f.now
+			m.chooser.WatchEnded(f.now)
 			return
 		}
-		m.retry = false
+		m.wakeAt = f.now.Add(pause)
+	case m.failed:
+		m.failed, m.retry = false, true
+		m.wakeAt = f.now.Add(m.chooser.StoreAvailable())
+	case m.retry:
+		m.retry, m.looking = false, true
+		m.wakeAt = f.now.Add(simTurnSearch)
+	default:
 		if !m.complete {
 			f.reads++
 		}
-		if m.fresh { // it has watched for simWatchPeriod
-			if address := m.chooser.Candidate(f.now); address != "" {
-				f.connect(m, address)
-				return
-			}
-		}
+		m.looking = m.fresh // it has watched for simWatchPeriod
 		m.complete, m.fresh, m.wakeAt = true, true, f.now.Add(simWatchPeriod)
-		return
-	}
-	if m.wakeAt = m.pollAt; !f.now.Before(m.pollAt) {
-		f.polls++
-		m.pollAt = f.now.Add(simPollPeriod)
-		m.wakeAt = m.pollAt
-	}
-	if address := m.chooser.Candidate(f.now); address != "" {
-		f.connect(m, address)
 	}
 }
 
@@ -338,3 +358,84 @@
 		})
 	}
 }
+
+// firstOfZones returns a condition that holds for the members at the places from up to
+// before to in the order in which the members of a zone take their copies from each other.
+func (f *fleet) firstOfZones(from, to int) func(*member) bool {
+	all := f.instances()
+	slices.SortFunc(all, source.Compare)
+	seen, chosen := map[topology.ZoneID]int{}, map[topology.InstanceID]bool{}
+	for _, in := range all {
+		place := seen[in.Zone]
+		seen[in.Zone]++
+		chosen[in.ID] = from <= place && place < to
+	}
+	return func(m *member) bool { return chosen[m.ID] }
+}
+
+// block lets the store turn the members away for which the condition holds.
+func (f *fleet) block(condition func(*member) bool) {
+	for _, m := range f.members {
+		m.blocked = condition(m)
+	}
+}
+
+// checkOthersUpToDate checks that the running members that the store answers are up to date.
+func (f *fleet) checkOthersUpToDate(t *testing.T, when string) {
+	t.Helper()
+	if stale := f.count(func(m *member) bool { return m.alive && !m.blocked && !m.fresh }); stale > 0 {
+		t.Errorf("%d instances that the store answers are not up to date %s", stale, when)
+	}
+}
+
+// TestTurnedAwayReadersDontKeepOthersFromStore guards against instances that wait for the
+// readers of their zone, which the store turns away, although it answers them.
+func TestTurnedAwayReadersDontKeepOthersFromStore(t *testing.T) {
+	for _, size := range sizes {
+		for _, turnedAway := range []int{3, 5, 8} {
+			t.Run(fmt.Sprintf("%d of each zone of %d", turnedAway, size.instances), func(t *testing.T) {
+				f := newFleet(size.instances, size.zones)
+				f.start(everyone)
+				f.run(5 * clock.Second)
+				f.block(f.firstOfZones(0, turnedAway))
+				f.run(3 * clock.Second) // a new configuration is due then
+				f.checkOthersUpToDate(t, "3 s after the store began to turn the first ones away")
+				f.run(4 * clock.Second)
+				f.checkOthersUpToDate(t, "7 s after that")
+				if watching := f.count(func(m *member) bool { return m.watching && !m.blocked }); watching > 2*size.zones {
+					t.Errorf("%d instances watch the store, want at most %d", watching, 2*size.zones)
+				}
+			})
+		}
+	}
+}
+
+// TestNobodyIsWaitedForWithoutBound guards against an instance that never reads the store
+// itself while most of its zone is silent or turned away, however many these are.
+func TestNobodyIsWaitedForWithoutBound(t *testing.T) {
+	for _, size := range sizes {
+		perZone := size.instances / size.zones
+		for name, c := range map[string]struct{ silent, turnedAway int }{
+			"most turned away":              {0, perZone - 2},
+			"most silent":                   {perZone - 2, 0},
+			"silent, then three readers":    {perZone/2 - 2, 3},
+			"three readers, then silent":    {-perZone / 2, 3},
+			"silent behind the turned away": {-perZone / 4, perZone / 2},
+		} {
+			t.Run(fmt.Sprintf("%d, %s", size.instances, name), func(t *testing.T) {
+				f := newFleet(size.instances, size.zones)
+				f.start(everyone)
+				f.run(5 * clock.Second)
+				first, second := max(c.silent, 0), max(c.silent, 0)+c.turnedAway
+				f.block(f.firstOfZones(first, second))
+				if c.silent > 0 {
+					f.stop(f.firstOfZones(0, c.silent))
+				} else {
+					f.stop(f.firstOfZones(second, second-c.silent))
+				}
+				f.run(13 * clock.Second) // longer than an instance waits for others
+				f.checkOthersUpToDate(t, "13 s later")
+			})
+		}
+	}
+}
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -8,6 +8,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/source"
 	"knapweedstall/io/relay"
+	"knapweedstall/platform"
 )
 
 // Parameters of following other instances.
@@ -16,12 +17,13 @@
 	// selfWatchPeriod is how often an instance that watches the store tries to find
 	// a source instead.
 	selfWatchPeriod = 4 * clock.Second
-	// storePollPeriod is how often an instance that reads the store checks whether
-	// the store is available again.
-	storePollPeriod = 800 * clock.Millisecond
-	// startPollPeriod is the same for an instance without copies, which can't serve.
+	// startPollPeriod is how often an instance without copies, which can't serve, checks
+	// whether the store is available again.
 	startPollPeriod = 300 * clock.Millisecond
 	maxNeighbours   = 2 // number of instances of other zones that a watching instance follows
+	// copyPeriod is the time between two attempts of an instance without a source to get
+	// newer objects from another instance.
+	copyPeriod = clock.Second
 	// maxTurnSearch is how long an instance whose turn it is to watch the store waits for
 	// the end of a search for a candidate. One that is up answers within some milliseconds.
 	maxTurnSearch = 250 * clock.Millisecond
@@ -43,12 +45,31 @@
 			g.followCandidate(ctx, step.Address, func() {})
 		case source.Watch:
 			g.watchStore(ctx)
+		case source.Probe:
+			if g.probeStoreOnce(ctx) {
+				g.watchStore(ctx)
+			}
 		case source.Wait:
+			g.startCopying(ctx)
 			sleep(ctx, g.jitter(step.Wait))
 		}
 	}
 }
 
+// probeStoreOnce reports whether the store answers one small call.
+func (g *Gateway) probeStoreOnce(ctx context.Context) bool {
+	_, err := g.store.List(ctx, platform.KindEvacuations, true /* stale */, probeTimeout)
+	if err == nil {
+		g.log.Info("store answers, although the readers of the zone are not up to date")
+		return true
+	}
+	g.log.Debug("store does not answer", "err", err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.chooser.ProbeFailed(g.clock.Now())
+	return false
+}
+
 // loadCopies lists the objects of all kinds of which there is no copy yet, once.
 func (g *Gateway) loadCopies(ctx context.Context) {
 	var wait sync.WaitGroup
@@ -159,6 +180,9 @@
 		g.searchSource(ctx, search, stopReading)
 	}()
 	g.readStore(reading, search)
+	if reading.Err() == nil { // the readers of the zone go on
+		stop()
+	}
 	<-ended
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -166,19 +190,16 @@
 }
 
 // readStore polls the store while it does not answer, and watches it while it does, until
-// ctx is done. It waits for no other instance.
+// ctx is done or the instance leaves the polling to the readers of its zone. It waits for
+// no other instance.
 func (g *Gateway) readStore(ctx context.Context, search *sourceSearch) {
-	for ctx.Err() == nil {
-		g.waitForStore(ctx, search)
+	for g.waitForStore(ctx, search) {
 		g.watchUntilLost(ctx, search)
 	}
 }
 
 // watchUntilLost watches the store until the store no longer answers or ctx is done.
 func (g *Gateway) watchUntilLost(ctx context.Context, search *sourceSearch) {
-	if ctx.Err() != nil {
-		return
-	}
 	g.log.Info("watching the store")
 	lost := make(chan struct{})
 	go func() {
@@ -200,27 +221,41 @@
 	}
 }
 
-// waitForStore waits until the store answers or ctx is done. It polls the store with one
-// small call, and meanwhile looks for a candidate to follow and, while copies are missing,
-// for any instance that has them.
-func (g *Gateway) waitForStore(ctx context.Context, search *sourceSearch) {
+// waitForStore waits until the store answers. It polls the store with one small call, and
+// meanwhile looks for a candidate to follow and, while copies are missing, for any instance
+// that has them. It returns false when ctx is done or the readers of the zone poll the
+// store instead.
+func (g *Gateway) waitForStore(ctx context.Context, search *sourceSearch) bool {
 	for failed := false; ctx.Err() == nil; failed = true {
 		_, err := g.pingStore(ctx)
 		if err == nil {
 			if failed {
 				g.waitTurn(ctx, search)
 			}
-			return
+			return ctx.Err() == nil
 		}
 		g.log.Debug("store does not answer", "err", err)
 		search.begin()
-		pause := storePollPeriod
-		if !g.views.complete() {
-			g.startSync(ctx)
-			pause = startPollPeriod
+		pause, goOn := g.pollPause(ctx)
+		if !goOn {
+			return false
 		}
 		sleep(ctx, g.jitter(pause))
 	}
+	return false
+}
+
+// pollPause returns the time until the next poll of a store that does not answer, and
+// whether there is one. An instance without copies of all kinds, which can't serve, gets
+// them from another instance meanwhile.
+func (g *Gateway) pollPause(ctx context.Context) (pause clock.Duration, goOn bool) {
+	if !g.views.complete() {
+		g.startSync(ctx)
+		return startPollPeriod, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.chooser.PollPause(g.clock.Now())
 }
 
 // waitTurn waits, after the store has become available again, until it is this
@@ -337,6 +372,26 @@
 	}()
 }
 
+// startCopying gets newer objects from one random other instance, unless that is going on.
+// The instance does not count as up to date for it.
+func (g *Gateway) startCopying(ctx context.Context) {
+	address := g.randomPeer()
+	if address == "" || !g.syncing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.syncing.Store(false)
+		err := relay.Follow(ctx, address, g.views.revisions(), g.silenceTimeout(), func(f relay.Frame) bool {
+			g.views.mergeObjects(f)
+			return false
+		})
+		if err != nil {
+			g.log.Debug("getting copies from an instance failed", "address", address, "err", err)
+		}
+		sleep(ctx, g.jitter(copyPeriod))
+	}()
+}
+
 // randomPeer returns the address of a random other instance, or "".
 func (g *Gateway) randomPeer() string {
 	g.mu.Lock()
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -134,26 +134,39 @@
 	v.changed = make(chan struct{})
 }
 
-// merge updates the copies with another instance's frame.
+// merge updates the copies with another instance's frame, and notes that they are as up to
+// date as that instance's.
 func (v *views) merge(f relay.Frame) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for name, d := range f.Deltas {
-		v.change(name, func(k view.Copy) view.Copy { return k.Merge(d) })
-	}
+	v.mergeDeltas(f)
 	now := v.clock.Now()
 	for _, name := range requiredKinds {
 		v.refreshed(name, now.Add(-f.Age))
 	}
 	for _, name := range v.optional {
-		o, ok := f.Optional[name]
-		if !ok {
-			continue
+		if o, ok := f.Optional[name]; ok {
+			v.refreshed(name, now.Add(-o.Age))
 		}
-		if o.Delta != nil {
+	}
+}
+
+// mergeObjects updates the copies with another instance's frame.
+func (v *views) mergeObjects(f relay.Frame) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.mergeDeltas(f)
+}
+
+// mergeDeltas is mergeObjects with mu held.
+func (v *views) mergeDeltas(f relay.Frame) {
+	for name, d := range f.Deltas {
+		v.change(name, func(k view.Copy) view.Copy { return k.Merge(d) })
+	}
+	for _, name := range v.optional {
+		if o := f.Optional[name]; o.Delta != nil {
 			v.change(name, func(k view.Copy) view.Copy { return k.Merge(*o.Delta) })
 		}
-		v.refreshed(name, now.Add(-o.Age))
 	}
 }
 
