Follow the next instance of another zone when the first is gone

An instance that the store turned away got no news from another zone whose first instance was gone for good or turned away itself: it tried that one again each second, for ever.

Cause: source.Neighbour names the first instance of a zone, whether or not it answers.

Fix: each attempt that fails, or finds an instance that is not up to date, is followed by one at the next instance of the zone.

Measured: gateway TestSilentNeighbourIsReplaced (three silent instances before the live one): version 2 is not in force within 8 s without the fix, and is with it.

--- a/core/source/order.go
+++ b/core/source/order.go
@@ -18,22 +18,30 @@
 	)
 }
 
-// Neighbour returns the address of the first instance of another zone: the zone that
-// is i+1 places after zone in the order of the zones' names. It returns "" if there is
-// no such zone. instances must be in the order of Compare.
-func Neighbour(instances []placing.Instance, zone topology.ZoneID, i int) string {
-	var firsts []placing.Instance // first instance of each zone
+// Neighbour returns the address of an instance of another zone: of the zone that is i+1
+// places after zone in the order of the zones' names, and there the one that is attempt
+// places after the first one, in the order of Compare and from the start again after the
+// last. It returns "" if there is no such zone. instances must be in the order of Compare.
+func Neighbour(instances []placing.Instance, zone topology.ZoneID, i, attempt int) string {
+	var zones []topology.ZoneID
 	for _, in := range instances {
-		if !slices.ContainsFunc(firsts, func(f placing.Instance) bool { return f.Zone == in.Zone }) {
-			firsts = append(firsts, in)
+		if !slices.Contains(zones, in.Zone) {
+			zones = append(zones, in.Zone)
 		}
 	}
-	slices.SortFunc(firsts, func(a, b placing.Instance) int { return cmp.Compare(a.Zone, b.Zone) })
-	at := slices.IndexFunc(firsts, func(f placing.Instance) bool { return f.Zone == zone })
-	if at < 0 || i+1 >= len(firsts) {
+	slices.Sort(zones)
+	at := slices.Index(zones, zone)
+	if at < 0 || i+1 >= len(zones) {
 		return ""
 	}
-	return firsts[(at+i+1)%len(firsts)].Address
+	other := zones[(at+i+1)%len(zones)]
+	var members []placing.Instance
+	for _, in := range instances {
+		if in.Zone == other {
+			members = append(members, in)
+		}
+	}
+	return members[attempt%len(members)].Address
 }
 
 // candidates returns the addresses of the instances of self's zone that precede self
--- a/gateway/silentpeers_test.go
+++ b/gateway/silentpeers_test.go
@@ -13,9 +13,9 @@
 	"knapweedstall/platform"
 )
 
-// addSilentInstances registers n instances of zone z1 that precede the others as sources
+// addSilentInstances registers n instances of a zone that precede the others as sources
 // and that accept connections and send nothing, like instances without power.
-func (env *testEnv) addSilentInstances(n int) {
+func (env *testEnv) addSilentInstances(zone topology.ZoneID, n int) {
 	env.t.Helper()
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -33,7 +33,7 @@
 			}
 		}()
 		name, spec := platform.InstanceObject(placing.Instance{
-			ID: topology.InstanceID(fmt.Sprintf("silent-%d", i)), Zone: "z1", Address: l.Addr().String(), Capacity: 2,
+			ID: topology.InstanceID(fmt.Sprintf("silent-%s-%d", zone, i)), Zone: zone, Address: l.Addr().String(), Capacity: 2,
 		})
 		env.store.Put(platform.KindInstances, name, spec)
 	}
@@ -49,7 +49,7 @@
 		catchUp = 4 * time.Second // as in the settings
 	)
 	env := newTestEnv(t)
-	env.addSilentInstances(silent)
+	env.addSilentInstances("z1", silent)
 	in := env.start(nil)
 	time.Sleep(5 * time.Second) // the instance watches the store and looks for a source
 	for version := 2; version <= 3; version++ {
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -31,7 +31,7 @@
 
 // syncCopies keeps the copies up to date until ctx is done. Package source decides
 // whether the instance follows another one or watches the store. An instance that
-// watches also follows neighbours, that is, the first instances of up to
+// watches also follows neighbours, that is, an instance of each of up to
 // maxNeighbours other zones, so that it receives changes while its own connection to
 // the store has failed without notice.
 func (g *Gateway) syncCopies(ctx context.Context) {
@@ -320,28 +320,30 @@
 // silenceTimeout returns the time without a frame after which a source has failed.
 func (g *Gateway) silenceTimeout() clock.Duration { return g.heartbeatPeriod() * 5 / 2 }
 
-// followNeighbour follows the first instance of another zone, whether or not it is up
-// to date, until ctx is done. i selects the zone. It begins when there are copies of all
-// kinds, since the neighbour would send all objects from another zone.
+// followNeighbour follows an instance of another zone until ctx is done: the first one, or
+// the next one after one that can't be reached or is not up to date. i selects the zone. It
+// begins when there are copies of all kinds, since the neighbour would send all objects
+// from another zone.
 func (g *Gateway) followNeighbour(ctx context.Context, i int) {
-	for ctx.Err() == nil {
-		if address := g.neighbour(i); address != "" && g.views.complete() {
+	for attempt := 0; ctx.Err() == nil; {
+		if address := g.neighbour(i, attempt); address != "" && g.views.complete() {
 			err := relay.Follow(ctx, address, g.views.revisions(), g.silenceTimeout(), func(f relay.Frame) bool {
 				g.views.merge(f)
-				return true
+				return f.Age <= g.maxSourceAge()
 			})
 			g.log.Debug("following an instance of another zone ended", "source", address, "err", err)
+			attempt++
 		}
 		sleep(ctx, g.jitter(neighbourRetryDelay))
 	}
 }
 
-// neighbour returns the address of the first instance of another zone, or "". i selects
-// the zone.
-func (g *Gateway) neighbour(i int) string {
+// neighbour returns the address of an instance of another zone, or "". i selects the zone
+// and attempt the instance.
+func (g *Gateway) neighbour(i, attempt int) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return source.Neighbour(g.peers, g.settings.Zone, i)
+	return source.Neighbour(g.peers, g.settings.Zone, i, attempt)
 }
 
 // syncFromPeer gets newer copies from one random other instance. It requests the
--- a/gateway/turnedaway_test.go
+++ b/gateway/turnedaway_test.go
@@ -80,3 +80,19 @@
 	}
 	t.Logf("version 2 in force at all after %v", time.Since(acknowledged))
 }
+
+// TestSilentNeighbourIsReplaced guards against an instance that the store turns away and
+// that gets no news from another zone, because the first instances there are gone.
+func TestSilentNeighbourIsReplaced(t *testing.T) {
+	env := newTestEnv(t)
+	env.addSilentInstances("z2", 3)
+	gate := newStoreGate(t, env.store)
+	in := env.start(func(s *settings.Gateway) { s.Store.Address = strings.TrimPrefix(gate.server.URL, "http://") })
+	env.start(func(s *settings.Gateway) { s.Zone = "z2" })
+	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == 5 })
+	time.Sleep(time.Second) // the instance has the list
+	gate.turnAway()
+	time.Sleep(2 * time.Second) // it has found that the store does not answer
+	env.configure(2, false)
+	env.eventually("version 2 is in force", func() bool { return in.do(t, "GET", "/plain/1", "").Status != http.StatusOK })
+}
