Close the connection of a request that has no answer

Reported by another operator: clients got a 200 with an empty or short body, framed as whole, after a target had stopped in the middle of its answer's head. But a caller that closes its sending side while targets are at work got 200 with an empty body and without a digest, in 6 of 6 cases (search, repeatable and not, run here and delegated).

Cause: net/http cancels the request then, the handler returned without writing, and net/http sends a success with an empty body.

Fix: the handler ends with http.ErrAbortHandler, which closes the connection.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -33,9 +33,15 @@
 		}
 		q.refuse(w)
 	case fanout.Abandoned, fanout.Open:
+		endUnanswered()
 	}
 }
 
+// endUnanswered ends the handler of a request whose caller has disconnected, or has closed
+// its sending side, which looks the same. The connection is closed without an answer: a
+// handler that returns without one sends a success with an empty body.
+func endUnanswered() { panic(http.ErrAbortHandler) }
+
 // answerSearch writes the merged answer of a search.
 func (q *request) answerSearch(w http.ResponseWriter) {
 	records, digests := q.merge()
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -31,7 +31,7 @@
 
 // Results of delegating a request.
 const (
-	answered   delegation = iota // the caller has been answered or has left
+	answered   delegation = iota // the caller has been answered
 	askNext                      // another instance should be asked
 	runLocally                   // this instance should run the request
 )
@@ -103,7 +103,7 @@
 		q.answerDelegated(w, runner, answer)
 		return answered
 	case callerGone:
-		return answered
+		endUnanswered()
 	case ctx.Err() != nil:
 		g.recordDelegated(q, runner, fanout.TimedOut, 0)
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/gateway/panics.go
+++ b/gateway/panics.go
@@ -9,10 +9,15 @@
 )
 
 // serveRecovered handles one request of a caller. A panic fails only this request: the
-// caller gets status 502, which does not state whether the request has run.
+// caller gets status 502, which does not state whether the request has run. The panic of
+// endUnanswered is passed on to the http.Server, which closes the connection.
 func (g *Gateway) serveRecovered(w http.ResponseWriter, r *http.Request) {
 	defer func() {
-		if cause := recover(); cause != nil {
+		switch cause := recover(); cause {
+		case nil:
+		case http.ErrAbortHandler:
+			panic(cause)
+		default:
 			g.logPanic(platform.RequestID(r.Header), cause)
 			w.WriteHeader(http.StatusBadGateway)
 		}
