Refuse requests that come too late in a planned stop

Reported by another operator: requests that came late in the grace period of a planned stop were taken, passed on and cut at its end. Here callers got 504 for orders that a target was running, in 3 of 4 forms looked at: a head that was half read when the stop began, a body that lacked a byte, and a new request with less time left than such requests take. Another instance could have run them.

Cause: a request that has been read is passed on however little is left.

Fix: while the instance stops, a request is refused with 503 and not passed on if less time is left than requests of its route take as a rule, or if it must not be repeated and has arrived after the instance has ceased to accept connections.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,10 +49,10 @@
 	store        *platform.Store
 	pool         *upstream.Pool
 	callers      *ingress.Server
-	stopping     atomic.Bool
-	syncing      atomic.Bool   // startSync is getting copies from another instance
-	draining     chan struct{} // closed when requests in progress must end
-	peersChanged chan struct{} // signals that peers has changed; holds one signal
+	stop         atomic.Pointer[stopTimes] // nil until the instance stops
+	syncing      atomic.Bool               // startSync is getting copies from another instance
+	draining     chan struct{}             // closed when requests in progress must end
+	peersChanged chan struct{}             // signals that peers has changed; holds one signal
 
 	// mu guards the fields below up to rollouts.
 	mu        sync.Mutex
@@ -236,7 +236,7 @@
 
 // ready reports whether the instance can serve requests.
 func (g *Gateway) ready() bool {
-	if g.stopping.Load() {
+	if g.stopping() {
 		return false
 	}
 	g.mu.Lock()
--- a/gateway/instances.go
+++ b/gateway/instances.go
@@ -91,7 +91,7 @@
 // from an older copy.
 func (g *Gateway) keepRegistered(ctx context.Context, registered bool) {
 	name, _ := platform.InstanceObject(g.self)
-	for ctx.Err() == nil && !g.stopping.Load() {
+	for ctx.Err() == nil && !g.stopping() {
 		if !registered {
 			g.register(ctx)
 			sleep(ctx, rewriteDelay)
@@ -108,7 +108,7 @@
 // succeeds, the instance stops or ctx is done.
 func (g *Gateway) register(ctx context.Context) {
 	name, spec := platform.InstanceObject(g.self)
-	for pause := minRetryDelay; ctx.Err() == nil && !g.stopping.Load(); pause = min(2*pause, 4*maxRetryDelay) {
+	for pause := minRetryDelay; ctx.Err() == nil && !g.stopping(); pause = min(2*pause, 4*maxRetryDelay) {
 		err := g.store.Put(ctx, platform.KindInstances, name, spec)
 		if err == nil {
 			return
--- a/gateway/quotalease.go
+++ b/gateway/quotalease.go
@@ -114,7 +114,7 @@
 			return
 		case <-ticker.C:
 		}
-		if g.stopping.Load() {
+		if g.stopping() {
 			g.endLeases(ctx)
 			return
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -91,7 +91,7 @@
 // serveCaller handles one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock.Now()
-	if g.stopping.Load() {
+	if g.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	g.mu.Lock()
@@ -133,6 +133,11 @@
 		g.refuse(w, r, "the request crashes targets", retryMax)
 		return
 	}
+	if g.comesTooLate(route, g.clock.Now()) {
+		w.Header().Set("Connection", "close")
+		g.refuse(w, r, "the instance stops", retryMin)
+		return
+	}
 	q := g.newRequest(r, route, forwardedHeader(r, keys, owner), body, arrived)
 	q.fingerprint, q.version, q.workspace, q.admitted = fingerprint, table.Config.Version, owner, admitted
 	q.controlled = admitted != nil
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/core/routing"
 )
 
 // Timing of a graceful shutdown.
@@ -18,25 +19,57 @@
 	exitMargin = 700 * clock.Millisecond
 )
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	accepts clock.Time // requests that arrive later are refused if they must not be repeated
+	end     clock.Time // requests in progress are ended
+}
+
+// stopping reports whether the instance stops.
+func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
+
+// comesTooLate reports whether a request on the route, whose head and body have been read
+// at now, can't be answered any more because the instance stops. It must not be passed on
+// then: its outcome would be unknown to the caller, who can still turn to another instance.
+func (g *Gateway) comesTooLate(route *routing.Route, now clock.Time) bool {
+	stop := g.stop.Load()
+	if stop == nil {
+		return false
+	}
+	late := stop.accepts.Before(now) && route.Kind != routing.Idempotent
+	return late || stop.end.Sub(now) < g.usualTime(route)
+}
+
+// usualTime returns the time within which a request on the route is answered as a rule.
+func (g *Gateway) usualTime(route *routing.Route) clock.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usual := route.LatencyObjective
+	if estimate := g.estimates[route.Name]; estimate != nil {
+		usual = max(usual, 2*estimate.Median())
+	}
+	return usual
+}
+
 // shutdown stops the instance without aborting a request: readiness checks fail
 // first, so that the load balancer removes the instance; then connections are closed
 // with their answers; and requests that are still in progress just before the end
 // are answered with their final state.
 func (g *Gateway) shutdown() {
-	started := g.clock.Now()
-	g.stopping.Store(true)
+	started, grace := g.clock.Now(), g.settings.Shutdown.Grace()
+	accepting := min(acceptPeriod, grace/2)
+	end := started.Add(grace - exitMargin)
+	g.stop.Store(&stopTimes{accepts: started.Add(accepting), end: end})
 	g.log.Info("stopping", "open", g.openRequests())
 	drainCtx, drainCancel := context.WithTimeout(context.Background(), clock.Second.Std())
 	defer drainCancel()
 	g.delegated.Drain(drainCtx)
-	grace := g.settings.Shutdown.Grace()
 	deregistered := make(chan struct{})
 	go func() {
 		defer close(deregistered)
 		g.deregister()
 	}()
-	time.Sleep(min(acceptPeriod, grace/2).Std())
-	end := started.Add(grace - exitMargin)
+	time.Sleep(accepting.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.clock.Now()).Std())
 	defer cancel()
 	context.AfterFunc(ctx, func() { close(g.draining) })
