Let a planned stop wait for delegated requests

The caller of an instance without targets got 502 for an order that another instance ran for it, when that one was stopped: it waited for its own callers alone, and its process ended while the target was at work.

Fix: the stop waits until no request is in progress, up to its end.

Measured: gateway TestStopWaitsForDelegatedRequests, work of 2.6 s in a grace period of 4 s: "the instance has ended before the request" without the fix, 200 with it.

--- a/gateway/latestop_test.go
+++ b/gateway/latestop_test.go
@@ -10,7 +10,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"knapweedstall/gateway"
+	"knapweedstall/platform"
 	"knapweedstall/platform/platformtest"
+	"knapweedstall/settings"
 )
 
 // lateRequest is a request of which a part arrives before a stop and the rest during it.
@@ -119,3 +122,35 @@
 		})
 	}
 }
+
+// TestStopWaitsForDelegatedRequests guards against a planned stop that ends a request which
+// another instance has delegated to this one.
+func TestStopWaitsForDelegatedRequests(t *testing.T) {
+	const grace, work = 4, 2600 * time.Millisecond // without requests in progress, the stop takes half of the grace period
+	env := newTestEnv(t)
+	env.store.PutConfig(2, []platformtest.Route{
+		{Name: "search", Host: host, Prefix: "/search/", Shards: []string{"a", "b", "c", "d"}, TopK: 3, MinCoverage: 0.5},
+		{Name: "order", Host: host, Prefix: "/order/", Service: "single", NonIdempotent: true, TimeoutMS: 5000},
+	})
+	cut := &partition{mode: refuse}
+	isolated := env.start(nil, gateway.WithTargetDial(cut.dial))
+	runner := env.start(func(s *settings.Gateway) { s.Shutdown.GraceSeconds = grace })
+	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == 2 })
+	time.Sleep(300 * time.Millisecond) // until each instance has the list
+	cut.on.Store(true)
+	isolated.do(t, "GET", "/search/first", "") // shows that the instance is isolated
+	env.targets["single1"].SetDelay(work)
+	status := make(chan int)
+	request := isolated.sendPart(t, -1)
+	go func() { status <- request.finish() }()
+	env.eventually("the request is running", func() bool { return env.targets["single1"].InProgress() == 1 })
+	runner.stop()
+	select {
+	case <-runner.served:
+		t.Error("the instance has ended before the request")
+	case got := <-status:
+		if got != http.StatusOK {
+			t.Errorf("status %d, want %d", got, http.StatusOK)
+		}
+	}
+}
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -77,10 +77,26 @@
 	closeCtx, closeCancel := context.WithTimeout(context.Background(), (end.Sub(g.clock.Now()) + exitMargin/2).Std())
 	defer closeCancel()
 	g.callers.Shutdown(closeCtx)
+	g.awaitDelegated(closeCtx)
 	<-deregistered
 	g.log.Info("stopped", "tookMs", int64(g.clock.Now().Sub(started)))
 }
 
+// openPeriod is the time between two looks for requests in progress at the end of a stop.
+const openPeriod = 5 * clock.Millisecond
+
+// awaitDelegated waits until no request of another instance is in progress, or ctx is done.
+// Its caller would get no answer if the process ended before.
+func (g *Gateway) awaitDelegated(ctx context.Context) {
+	for ctx.Err() == nil && g.openRequests() > 0 {
+		sleep(ctx, openPeriod)
+	}
+	sleep(ctx, answerTime) // the last answers are on their way
+}
+
+// answerTime is the time for writing an answer to another instance.
+const answerTime = 20 * clock.Millisecond
+
 // openRequests returns the number of requests in progress.
 func (g *Gateway) openRequests() int {
 	g.mu.Lock()
