End callers' connections through their read deadline until all are closed

A stop ended idle connections of callers through their read deadline for 1 s, and left the rest to http.Server.Shutdown, which closes a connection on which a request has just been read: that is passed on and gets no answer.

The read deadline is used until no connection is open now, after 1 s also for connections on which nothing has been sent.

--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -15,31 +15,34 @@
 
 	mu   sync.Mutex
 	idle bool // an answer has been written, and no byte of the next request has been read
+	used bool // a byte has been read
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.setIdle(false)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.idle, c.used = false, true
 	}
 	return n, err
 }
 
-func (c *callerConn) setIdle(idle bool) {
+func (c *callerConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.idle = true
 }
 
-// endIfIdle makes the connection's reads fail if it is idle, so that its http.Server
-// closes it. If a request is read at the same time, the http.Server sets another deadline
+// endIfIdle makes the connection's reads fail if it is idle, or if unused is set and it
+// has not been used, so that its http.Server closes it. If a request is read at the same time, the http.Server sets another deadline
 // for the rest of it. It also does so just after an answer, so endIfIdle must be called
 // until the connection is closed.
-func (c *callerConn) endIfIdle() {
+func (c *callerConn) endIfIdle(unused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.idle || unused && !c.used {
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
@@ -72,19 +75,20 @@
 	}
 	switch state {
 	case http.StateIdle:
-		conn.setIdle(true)
+		conn.setIdle()
 	case http.StateClosed, http.StateHijacked:
 		s.remove(conn)
 	case http.StateNew, http.StateActive:
 	}
 }
 
-// endIdle ends the idle connections and returns how many are open, these included.
-func (s *connSet) endIdle() (open int) {
+// endIdle ends the idle connections, and if unused is set also those that have not been
+// used, and returns how many are open, these included.
+func (s *connSet) endIdle(unused bool) (open int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.endIfIdle()
+		c.endIfIdle(unused)
 	}
 	return len(s.conns)
 }
--- a/io/ingress/idle_test.go
+++ b/io/ingress/idle_test.go
@@ -100,3 +100,56 @@
 	}
 	_ = resp.Body.Close()
 }
+
+// TestShutdownAnswersLateCrossingRequest guards against the same on a connection whose
+// answer in progress ends late in the stop.
+func TestShutdownAnswersLateCrossingRequest(t *testing.T) {
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &crossingListener{TCPListener: tcp}
+	var handled atomic.Int64
+	s := newServer(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		work := newConnectionTime + 300*time.Millisecond
+		if handled.Add(1) > 1 {
+			work = 50 * time.Millisecond
+		}
+		select {
+		case <-time.After(work):
+			l.idle.Store(true) // the answer is written now
+			w.WriteHeader(http.StatusNoContent)
+		case <-r.Context().Done(): // the request is given up
+		}
+	}))
+	go func() { _ = s.Serve() }() // ends with the shutdown
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	l.caller = c
+	answers := bufio.NewReader(c)
+	if _, err := fmt.Fprint(c, request); err != nil {
+		t.Fatal(err)
+	}
+	for handled.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	s.Shutdown(ctx)
+	answered := int64(0)
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	for {
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			break
+		}
+		_ = resp.Body.Close()
+		answered++
+	}
+	if got := handled.Load(); got != answered {
+		t.Errorf("%d requests were handled and %d answered", got, answered)
+	}
+}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -98,9 +98,8 @@
 	// queueTime is how long a shutdown goes on accepting connections, which the system
 	// may have queued. Closing the listener would reset them.
 	queueTime = 50 * time.Millisecond
-	// newConnectionTime is how long a shutdown waits for the requests on connections
-	// that have been accepted and have not sent a whole head yet. http.Server.Shutdown
-	// would close them without an answer.
+	// newConnectionTime is how long a shutdown waits for requests on connections that have
+	// been accepted and on which nothing has been sent yet.
 	newConnectionTime = time.Second
 	// pollPeriod is the time between two looks for open connections.
 	pollPeriod = 5 * time.Millisecond
@@ -148,24 +147,18 @@
 	}
 	_ = s.listener.Close() // no connection is accepted any more, even if it fails
 	s.awaitConnections(ctx)
-	var wait sync.WaitGroup
 	for _, server := range servers {
-		wait.Go(func() {
-			_ = server.Shutdown(ctx) // fails only because ctx is done
-			_ = server.Close()       // the process exits
-		})
+		_ = server.Close() // the process exits
 	}
-	wait.Wait()
 }
 
-// awaitConnections ends idle connections and waits until none is open, for up to
-// newConnectionTime or until ctx is done.
+// awaitConnections ends idle connections, and after newConnectionTime also those on which
+// no request has begun, and waits until none is open or ctx is done. http.Server.Shutdown
+// is not used: it closes a connection on which a request has just been read.
 func (s *Server) awaitConnections(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, newConnectionTime)
-	defer cancel()
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
-	for s.open.endIdle() > 0 {
+	for started := time.Now(); s.open.endIdle(time.Since(started) > newConnectionTime) > 0; {
 		select {
 		case <-ctx.Done():
 			return
