Count the runs of each instance in TestOddEntriesDontStopNews

Traced in the test: it waited until the new target had run a request of either instance, and the second one could still use the old target, which drains and may be used until its state is known. Each instance's own runs are counted now, and all 20 requests that follow must run at the new target, which is stricter.

The tests of turned-away and silent instances use the fakes that there were already.

--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -271,9 +271,17 @@
 
 // storeLink forwards calls to the store until it is cut.
 type storeLink struct {
-	store  *platformtest.Store
-	cut    atomic.Bool
-	refuse atomic.Bool // calls are not executed
+	store      *platformtest.Store
+	server     *httptest.Server
+	cut        atomic.Bool
+	refuse     atomic.Bool // calls are not executed
+	turnedAway atomic.Bool // the same, with status 503
+}
+
+// turnAway refuses calls with status 503 from now on, and ends those that wait.
+func (l *storeLink) turnAway() {
+	l.turnedAway.Store(true)
+	l.server.CloseClientConnections()
 }
 
 // ServeHTTP implements http.Handler.
@@ -281,6 +289,10 @@
 	if l.refuse.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	if l.turnedAway.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	answer := httptest.NewRecorder()
 	l.store.ServeHTTP(answer, r)
 	if l.cut.Load() { // also for a watch that was open before
@@ -293,9 +305,9 @@
 // linkStore returns a link to the store and its address.
 func (env *testEnv) linkStore() (*storeLink, string) {
 	link := &storeLink{store: env.store}
-	server := httptest.NewServer(link)
-	env.t.Cleanup(server.CloseClientConnections)
-	return link, strings.TrimPrefix(server.URL, "http://")
+	link.server = httptest.NewServer(link)
+	env.t.Cleanup(link.server.CloseClientConnections)
+	return link, strings.TrimPrefix(link.server.URL, "http://")
 }
 
 // TestKeyWithdrawnDuringCut guards against an instance without a link to the store that
--- a/gateway/oddentry_test.go
+++ b/gateway/oddentry_test.go
@@ -53,16 +53,19 @@
 	env.startTarget("single2", "single")
 	started := env.launch(env.newSettings(func(s *settings.Gateway) { s.Zone = "z2" }))
 	for name, in := range map[string]*instance{"running": running, "started": started} {
+		runs := func() int { return len(env.targets["single2"].Runs()) }
 		env.eventually("the instance that is "+name+" uses the new target", func() bool {
-			return in.ready() && in.do(t, "POST", "/order/1", "lamp").Status == http.StatusOK && len(env.targets["single2"].Runs()) > 0
+			before := runs()
+			return in.ready() && in.do(t, "POST", "/order/1", "lamp").Status == http.StatusOK && runs() > before
 		})
+		before := runs()
 		for range 20 {
 			if got := in.do(t, "POST", "/order/2", "lamp").Status; got != http.StatusOK {
 				t.Errorf("the instance that is %s answers %d, want %d", name, got, http.StatusOK)
 			}
 		}
-	}
-	if got := len(env.targets["single2"].Runs()); got < 40 {
-		t.Errorf("the new target ran %d requests, want 40 at least", got)
+		if got := runs() - before; got != 20 {
+			t.Errorf("the new target ran %d of 20 requests to the instance that is %s", got, name)
+		}
 	}
 }
--- a/gateway/silentpeers_test.go
+++ b/gateway/silentpeers_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -18,22 +16,9 @@
 func (env *testEnv) addSilentInstances(zone topology.ZoneID, n int) {
 	env.t.Helper()
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			env.t.Fatal(err)
-		}
-		env.t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() { _, _ = io.Copy(io.Discard, c); _ = c.Close() }()
-			}
-		}()
+		address, _ := silentAddress(env.t)
 		name, spec := platform.InstanceObject(placing.Instance{
-			ID: topology.InstanceID(fmt.Sprintf("silent-%s-%d", zone, i)), Zone: zone, Address: l.Addr().String(), Capacity: 2,
+			ID: topology.InstanceID(fmt.Sprintf("silent-%s-%d", zone, i)), Zone: zone, Address: address, Capacity: 2,
 		})
 		env.store.Put(platform.KindInstances, name, spec)
 	}
--- a/gateway/turnedaway_test.go
+++ b/gateway/turnedaway_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,32 +9,6 @@
 	"knapweedstall/settings"
 )
 
-// storeGate is the store as one instance sees it.
-type storeGate struct {
-	server  *httptest.Server
-	refuses atomic.Bool // it turns the instance away with 503
-}
-
-func newStoreGate(t *testing.T, store http.Handler) *storeGate {
-	t.Helper()
-	gate := &storeGate{}
-	gate.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if gate.refuses.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		store.ServeHTTP(w, r)
-	}))
-	t.Cleanup(gate.server.CloseClientConnections)
-	return gate
-}
-
-// turnAway refuses calls from now on and ends those that wait.
-func (s *storeGate) turnAway() {
-	s.refuses.Store(true)
-	s.server.CloseClientConnections()
-}
-
 // TestTurnedAwayReadersDontKeepFromStore guards against instances that reach the store and
 // act on an old configuration, because they wait for the readers of their zone, which the
 // store turns away.
@@ -47,15 +18,15 @@
 		due                   = 3 * time.Second // as in the settings
 	)
 	env := newTestEnv(t)
-	var gates []*storeGate
+	var links []*storeLink
 	var others []*instance
 	for i := range instances {
 		in := env.start(func(s *settings.Gateway) {
 			s.Capacity = 1 / float64(1+i) // the order in which they take their copies from each other
 			if i < turnedAway {
-				gate := newStoreGate(t, env.store)
-				gates = append(gates, gate)
-				s.Store.Address = strings.TrimPrefix(gate.server.URL, "http://")
+				link, address := env.linkStore()
+				links = append(links, link)
+				s.Store.Address = address
 			}
 		})
 		if i >= turnedAway {
@@ -64,8 +35,8 @@
 	}
 	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == instances })
 	time.Sleep(5 * time.Second) // each instance has found the one that it follows
-	for _, gate := range gates {
-		gate.turnAway()
+	for _, link := range links {
+		link.turnAway()
 	}
 	env.configure(2, false)
 	acknowledged := time.Now()
@@ -86,12 +57,12 @@
 func TestSilentNeighbourIsReplaced(t *testing.T) {
 	env := newTestEnv(t)
 	env.addSilentInstances("z2", 3)
-	gate := newStoreGate(t, env.store)
-	in := env.start(func(s *settings.Gateway) { s.Store.Address = strings.TrimPrefix(gate.server.URL, "http://") })
+	link, address := env.linkStore()
+	in := env.start(func(s *settings.Gateway) { s.Store.Address = address })
 	env.start(func(s *settings.Gateway) { s.Zone = "z2" })
 	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == 5 })
 	time.Sleep(time.Second) // the instance has the list
-	gate.turnAway()
+	link.turnAway()
 	time.Sleep(2 * time.Second) // it has found that the store does not answer
 	env.configure(2, false)
 	env.eventually("version 2 is in force", func() bool { return in.do(t, "GET", "/plain/1", "").Status != http.StatusOK })
