Choose the coordinators of quotas among the instances that answer

Cause: the coordinators are chosen from the list of instances, in which those that were lost without a signal stay for ever. Entries asked four lost ones without end, and no live instance sought the leases.

Fix: core/liveness counts an instance as lost when at least three calls to it have failed over 3 s, until it is heard of, and the coordinators are chosen among the others. The lease in the store keeps one holder when instances differ in what they know.

--- a/core/coordinator/coordinator.go
+++ b/core/coordinator/coordinator.go
@@ -11,9 +11,9 @@
 	"knapweedstall/core/topology"
 )
 
-// maxCoordinators bounds the links of an instance to coordinators, and leaves each of
-// several availability zones with two or more of them.
-const maxCoordinators = 8
+// MaxCoordinators is the number of coordinators at most. It bounds the links of an instance
+// to coordinators, and leaves each of several availability zones with two or more of them.
+const MaxCoordinators = 8
 
 // Ring holds the coordinators of a list of instances. It is immutable.
 type Ring struct {
@@ -23,6 +23,14 @@
 // New returns the Ring of the instances: those with the highest capacity of each zone,
 // the zones in turn.
 func New(instances []placing.Instance) *Ring {
+	r := &Ring{coordinators: Candidates(instances, MaxCoordinators)}
+	slices.SortFunc(r.coordinators, func(a, b placing.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return r
+}
+
+// Candidates returns the first n of the instances in the order in which they become
+// coordinators: the coordinators, and then those that become some when these are gone.
+func Candidates(instances []placing.Instance, n int) []placing.Instance {
 	zones := map[topology.ZoneID][]placing.Instance{}
 	for _, in := range instances {
 		zones[in.Zone] = append(zones[in.Zone], in)
@@ -34,19 +42,18 @@
 	var candidates []candidate
 	for _, list := range zones {
 		slices.SortFunc(list, compareCapacity)
-		for i, in := range list[:min(len(list), maxCoordinators)] {
+		for i, in := range list[:min(len(list), n)] {
 			candidates = append(candidates, candidate{in, i})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), compareCapacity(a.Instance, b.Instance))
 	})
-	r := &Ring{}
-	for _, c := range candidates[:min(len(candidates), maxCoordinators)] {
-		r.coordinators = append(r.coordinators, c.Instance)
+	var first []placing.Instance
+	for _, c := range candidates[:min(len(candidates), n)] {
+		first = append(first, c.Instance)
 	}
-	slices.SortFunc(r.coordinators, func(a, b placing.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return r
+	return first
 }
 
 // compareCapacity orders instances by descending capacity and ascending id.
--- /dev/null
+++ b/core/liveness/tracker_test.go
@@ -0,0 +1,87 @@
+package liveness_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/liveness"
+	"knapweedstall/core/topology"
+)
+
+// TestLost guards against an instance that counts as lost while its process restarts or
+// after a single call that fails, and against one that is lost and counts as live.
+func TestLost(t *testing.T) {
+	type failure struct {
+		At    clock.Time
+		Heard bool // it is heard then instead
+	}
+	for name, c := range map[string]struct {
+		calls []failure
+		want  bool
+	}{
+		"never called":             {nil, false},
+		"one call":                 {[]failure{{At: 1000}}, false},
+		"two calls":                {[]failure{{At: 1000}, {At: 9000}}, false},
+		"many calls at once":       {[]failure{{At: 1000}, {At: 1001}, {At: 1002}, {At: 1500}}, false},
+		"for three seconds":        {[]failure{{At: 1000}, {At: 2000}, {At: 4000}}, true},
+		"restarted meanwhile":      {[]failure{{At: 1000}, {At: 2000}, {At: 2500, Heard: true}, {At: 3000}, {At: 4000}}, false},
+		"lost after it was heard":  {[]failure{{At: 1000, Heard: true}, {At: 2000}, {At: 3000}, {At: 5000}}, true},
+		"returned after its loss":  {[]failure{{At: 1000}, {At: 2000}, {At: 4000}, {At: 9000, Heard: true}}, false},
+		"lost again after its own": {[]failure{{At: 1000}, {At: 2000}, {At: 4000}, {At: 5000, Heard: true}, {At: 6000}, {At: 7000}, {At: 9000}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := liveness.New()
+			for _, f := range c.calls {
+				was := tracker.Lost("a")
+				changed := false
+				if f.Heard {
+					changed = tracker.Heard("a")
+				} else {
+					changed = tracker.Failed("a", f.At)
+				}
+				if now := tracker.Lost("a"); changed != (was != now) {
+					t.Errorf("at %v the change is reported as %v, lost before %v, now %v", f.At, changed, was, now)
+				}
+			}
+			if got := tracker.Lost("a"); got != c.want {
+				t.Errorf("lost %v, want %v", got, c.want)
+			}
+			if got := tracker.LostCount() == 1; got != c.want {
+				t.Errorf("%d instances are lost", tracker.LostCount())
+			}
+		})
+	}
+}
+
+// TestChecksAreBounded guards against checks whose number grows with that of the instances
+// that were ever lost, and against a lost instance that is never checked again.
+func TestChecksAreBounded(t *testing.T) {
+	const lost, seconds = 100, 300
+	tracker := liveness.New()
+	for i := range lost {
+		for _, at := range []clock.Time{1, 2000, 4000} {
+			tracker.Failed(topology.InstanceID(fmt.Sprint("lost-", i)), at)
+		}
+	}
+	checks := map[topology.InstanceID]int{}
+	for now := clock.Time(5000); now < 5000+seconds*1000; now = now.Add(200) {
+		for _, id := range tracker.Due(now) {
+			checks[id]++
+			tracker.Failed(id, now)
+		}
+	}
+	total := 0
+	for _, n := range checks {
+		total += n
+	}
+	if diff := cmp.Diff(lost, len(checks)); diff != "" || total > seconds {
+		t.Errorf("%d checks in %d s, of how many instances (-want +got):\n%s", total, seconds, diff)
+	}
+	tracker.Retain(func(topology.InstanceID) bool { return false })
+	if due := tracker.Due(1 << 30); len(due) > 0 || tracker.LostCount() > 0 {
+		t.Errorf("instances that are not registered are checked: %v", due)
+	}
+}
--- a/gateway/coordinate.go
+++ b/gateway/coordinate.go
@@ -20,5 +20,7 @@
 	if in.ID == g.settings.Instance {
 		return g.called.Local(ctx, in.ID, topic, payload)
 	}
-	return g.calls.Call(ctx, in.Address, topic, payload)
+	data, err := g.calls.Call(ctx, in.Address, topic, payload)
+	g.noteCall(in.ID, err)
+	return data, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/coordinator"
 	"knapweedstall/core/fanout"
+	"knapweedstall/core/liveness"
 	"knapweedstall/core/placing"
 	"knapweedstall/core/poison"
 	"knapweedstall/core/replica"
@@ -73,6 +74,8 @@
 	peers            []placing.Instance // all registered instances, this one included, in the order of source.Compare
 	chooser          *source.Chooser
 	coordinators     *coordinator.Ring
+	quotaRing        *coordinator.Ring // the coordinators of quotas, among the live instances
+	liveness         *liveness.Tracker
 	seeds            []string // peer addresses from the settings
 	placing          *placing.Set
 	zoneCoverage     map[routing.RouteName]map[topology.ZoneID]float64 // share of a route's shards with a target in the zone, computed when needed
@@ -122,6 +125,8 @@
 		becomingIsolated:  make(chan struct{}),
 		zoneCoverage:      map[routing.RouteName]map[topology.ZoneID]float64{},
 		coordinators:      coordinator.New(nil),
+		quotaRing:         coordinator.New(nil),
+		liveness:          liveness.New(),
 		delegates:         delegate.NewClient(),
 		calls:             exchange.NewClient(s.Instance),
 		called:            exchange.NewServer(),
@@ -137,12 +142,12 @@
 	g.views = newViews(c, optionalKinds(s), g.apply, g.rewriteLost)
 	g.delegated = delegate.NewServer(g.runDelegated)
 	g.overload = newOverloadControl(g)
-	g.called.Handle(overloadTopic, g.overload.receive)
+	g.handle(overloadTopic, g.overload.receive)
 	g.quotas, g.quotaCoordinator = newQuotaEntry(), g.newQuotaCoordinator()
 	if s.Quotas != nil {
-		g.called.Handle(quotaTopic, g.handleCredit)
-		g.called.Handle(releaseTopic, g.handleReleased)
-		g.called.Handle(leaseWriteTopic, g.handleLeaseWrite)
+		g.handle(quotaTopic, g.handleCredit)
+		g.handle(releaseTopic, g.handleReleased)
+		g.handle(leaseWriteTopic, g.handleLeaseWrite)
 	}
 	g.self = placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity}
 	g.chooser = source.New(g.self)
@@ -157,8 +162,8 @@
 		Slack:  float64(s.Repeats.Slack),
 	}, c.Now())
 	if g.rollouts = newRollouts(g, s.Rollouts); g.rollouts != nil {
-		g.called.Handle(rolloutTopic, g.receiveReport)
-		g.called.Handle(rolloutWriteTopic, g.writeForDecider)
+		g.handle(rolloutTopic, g.receiveReport)
+		g.handle(rolloutWriteTopic, g.writeForDecider)
 	}
 	return g
 }
@@ -281,6 +286,7 @@
 	defer g.mu.Unlock()
 	v.rollouts = g.rolloutCounts()
 	v.targetsLimited, v.isolated = g.targets.LimitedTargets(), g.targets.Isolated()
+	v.instancesLost = g.liveness.LostCount()
 	v.targetsPredicted = g.targets.PredictedTargets(g.clock.Now())
 	if g.table != nil {
 		v.configVersion = g.table.Config.Version
--- a/gateway/instances.go
+++ b/gateway/instances.go
@@ -175,6 +175,10 @@
 	}
 	g.peers = peers
 	g.coordinators = coordinator.New(peers)
+	g.liveness.Retain(func(id topology.InstanceID) bool {
+		return slices.ContainsFunc(peers, func(in placing.Instance) bool { return in.ID == id })
+	})
+	g.setQuotaRing()
 	if g.rollouts != nil {
 		g.rollouts.decider.SetInstances(len(peers))
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,6 +50,7 @@
 	targetsPredicted  tally.Gauge // targets whose next pause is predicted
 	rollouts          rolloutCounters
 	isolated          tally.Gauge // 1 while the instance reaches no target
+	instancesLost     tally.Gauge // registered instances that don't answer
 	groupsLimited     tally.Gauge // groups of services with a limit of admitted requests
 	overloadLimit     tally.Gauge // lowest of these limits; 0 for none
 
@@ -87,6 +88,7 @@
 		targetsLimited:    scope.Gauge("targets_limited"),
 		targetsPredicted:  scope.Gauge("targets_pause_predicted"),
 		isolated:          scope.Gauge("isolated"),
+		instancesLost:     scope.Gauge("instances_lost"),
 		groupsLimited:     scope.Gauge("overload_groups_limited"),
 		overloadLimit:     scope.Gauge("overload_limit_per_second"),
 		rollouts:          newRolloutCounters(scope),
@@ -134,6 +136,7 @@
 	targetsLimited    int
 	targetsPredicted  int
 	isolated          bool
+	instancesLost     int
 	groupsLimited     int
 	overloadLimit     overload.Rate
 	connectionsOpened int64          // in total
@@ -157,6 +160,7 @@
 		isolated = 1
 	}
 	c.isolated.Update(isolated)
+	c.instancesLost.Update(float64(v.instancesLost))
 	for phase, gauge := range c.rollouts.orders {
 		gauge.Update(float64(v.rollouts[phase]))
 	}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -250,7 +250,7 @@
 // there is one.
 func (g *Gateway) askCoordinators(id topology.WorkspaceID, n, returned int) quota.Answer {
 	e := g.quotas
-	ranked := g.coordinatorsOf(quotaKey(quota.GroupOf(id)))
+	ranked := g.quotaCoordinators(quotaKey(quota.GroupOf(id)))
 	ids := make([]topology.InstanceID, len(ranked))
 	for i, in := range ranked {
 		ids[i] = in.ID
--- a/gateway/quotalease.go
+++ b/gateway/quotalease.go
@@ -118,15 +118,17 @@
 			g.endLeases(ctx)
 			return
 		}
-		g.mu.Lock()
-		ring := g.coordinators
-		g.mu.Unlock()
-		now := g.clock.Now()
-		if g.quotaCoordinator.inUse() && (ring != warmed || now.Sub(warmedAt) > warmPeriod) {
-			warmed, warmedAt = ring, now
-			go g.warmLinks(ctx, ring.Ranked(""))
-		}
+		ring, now := g.currentQuotaRing(), g.clock.Now()
 		if g.quotaCoordinator.inUse() {
+			switch {
+			case ring != warmed:
+				warmed, warmedAt = ring, now
+				go g.warmLinks(ctx, g.coordinatorsAndNext())
+			case now.Sub(warmedAt) > warmPeriod:
+				warmedAt = now
+				go g.warmLinks(ctx, ring.Ranked(""))
+			}
+			g.checkLiveness()
 			g.renewLeases(ctx, ring)
 		}
 		g.quotas.expire(now)
@@ -145,12 +147,28 @@
 func (g *Gateway) warmLinks(ctx context.Context, coordinators []placing.Instance) {
 	sleep(ctx, g.jitter(quota.TickPeriod))
 	for _, in := range coordinators {
-		if _, err := g.callForCredit(in, creditRequest{}); err != nil {
-			continue // counted and logged; a request that needs the link finds out for itself
-		}
+		// A failure is counted, logged and noted; a request that needs the link finds out
+		// for itself.
+		go func() { _, _ = g.callForCredit(in, creditRequest{}) }()
 	}
 }
 
+// currentQuotaRing returns the coordinators of quotas.
+func (g *Gateway) currentQuotaRing() *coordinator.Ring {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quotaRing
+}
+
+// coordinatorsAndNext returns the coordinators of quotas, and as many of those that come
+// after them as instances are lost, so that the loss of most instances is found out in a
+// few steps.
+func (g *Gateway) coordinatorsAndNext() []placing.Instance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return coordinator.Candidates(g.liveInstances(), coordinator.MaxCoordinators+g.liveness.LostCount())
+}
+
 // moment returns the time on both clocks.
 func (g *Gateway) moment() quota.Moment {
 	return quota.Moment{Time: g.clock.Now(), UnixMillis: g.clock.UnixMillis()}
@@ -305,7 +323,7 @@
 		g.log.Error("encoding a message failed", "topic", releaseTopic, "err", err)
 		return
 	}
-	for _, in := range g.coordinatorsOf(quotaKey(group)) {
+	for _, in := range g.quotaCoordinators(quotaKey(group)) {
 		if in.ID == g.settings.Instance {
 			continue
 		}
@@ -329,9 +347,7 @@
 	c.mu.Lock()
 	c.leases.Released(m.Group, g.clock.Now())
 	c.mu.Unlock()
-	g.mu.Lock()
-	ring := g.coordinators
-	g.mu.Unlock()
+	ring := g.currentQuotaRing()
 	for range 2 { // reads the object, then writes it
 		g.renewLeases(context.Background(), ring)
 		sleep(context.Background(), releaseStepDelay)
--- a/gateway/quotathrough.go
+++ b/gateway/quotathrough.go
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeThroughTimeout.Std())
 	defer cancel()
-	for _, in := range g.coordinatorsOf(quotaKey(step.Group)) {
+	for _, in := range g.quotaCoordinators(quotaKey(step.Group)) {
 		if in.ID == g.settings.Instance {
 			continue
 		}
