Go on accepting connections after a lack of descriptors

Cause: any error of Accept ended the accept loop, and nothing bounded the connections that callers keep.

Fix: io/accept repeats an accept that has failed, for all listeners of both programs. A dial to a target for which there is no descriptor is made again after an idle connection was closed. Readiness fails while accepts fail.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"knapweedstall/core/source"
 	"knapweedstall/core/topology"
 	"knapweedstall/core/workspace"
+	"knapweedstall/io/accept"
 	"knapweedstall/io/delegate"
 	"knapweedstall/io/exchange"
 	"knapweedstall/io/ingress"
@@ -84,6 +85,7 @@
 	rollouts         *rollouts                                         // nil: the deployment has no rollouts
 
 	unauthorizedLines *lineLimit
+	acceptLines       *lineLimit // about connections that could not be accepted
 	quotas            *quotaEntry
 	quotaCoordinator  *quotaCoordinator
 
@@ -138,6 +140,7 @@
 		entries:           map[string]parsedInstance{},
 		keys:              workspace.NewDirectory(nil),
 		unauthorizedLines: &lineLimit{period: unauthorizedLogPeriod},
+		acceptLines:       &lineLimit{period: acceptLogPeriod},
 	}
 	g.views = newViews(c, optionalKinds(s), g.apply, g.rewriteLost)
 	g.delegated = delegate.NewServer(g.runDelegated)
@@ -170,7 +173,8 @@
 
 // Serve runs the instance until ctx is done and then shuts it down gracefully.
 func (g *Gateway) Serve(ctx context.Context) error {
-	callers, err := ingress.Listen(g.settings.Listen.Callers, http.HandlerFunc(g.serveRecovered))
+	callers, err := ingress.Listen(g.settings.Listen.Callers, http.HandlerFunc(g.serveRecovered),
+		ingress.WithMaxConnections(maxCallerConnections()), ingress.OnFailure(g.acceptFailed))
 	if err != nil {
 		return err
 	}
@@ -186,7 +190,7 @@
 	for address, handler := range map[string]http.Handler{
 		g.settings.Listen.Readiness: readiness, g.settings.Listen.Peers: peers, g.settings.Listen.Metrics: published,
 	} {
-		if err := serveInternal(address, handler); err != nil {
+		if err := g.serveInternal(address, handler); err != nil {
 			return err
 		}
 	}
@@ -200,11 +204,7 @@
 	if g.settings.Quotas != nil {
 		go g.runQuotas(background)
 	}
-	go func() {
-		if err := callers.Serve(); err != nil {
-			g.log.Error("accepting connections of callers failed", "err", err)
-		}
-	}()
+	go func() { _ = callers.Serve() }() // returns when the server is shut down
 	<-ctx.Done()
 	g.shutdown()
 	return nil
@@ -220,13 +220,13 @@
 }
 
 // serveInternal serves handler on address until the process exits.
-func serveInternal(address string, handler http.Handler) error {
+func (g *Gateway) serveInternal(address string, handler http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(l) }() // runs until the process exits
+	go func() { _ = server.Serve(accept.NewListener(l, g.acceptFailed)) }() // runs until the process exits
 	return nil
 }
 
@@ -246,7 +246,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table != nil && g.targets.Size() > 0
+	return g.table != nil && g.targets.Size() > 0 && g.callers.Accepts()
 }
 
 // sweep drops expired targets and idle connections and updates gauges until ctx is
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,6 +40,7 @@
 	connectionsOpened tally.Counter
 	connsBypassed     tally.Counter // idle connections not used since they had carried the same request
 	answersSkipped    tally.Counter // answers to earlier requests, from targets
+	acceptsFailed     tally.Counter // accepts of connections that have failed
 	linesDropped      tally.Counter
 	panics            tally.Counter // requests that a panic failed
 	targetsLeaving    tally.Counter // targets whose answers state that they are leaving
@@ -79,6 +80,7 @@
 		connectionsOpened: scope.Counter("target_connections_opened"),
 		connsBypassed:     scope.Counter("target_connections_bypassed"),
 		answersSkipped:    scope.Counter("target_answers_skipped"),
+		acceptsFailed:     scope.Counter("accepts_failed"),
 		linesDropped:      scope.Counter("log_lines_dropped"),
 		panics:            scope.Counter("panics"),
 		targetsLeaving:    scope.Counter("targets_leaving"),
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	"knapweedstall/core/message"
 	"knapweedstall/core/node"
 	"knapweedstall/core/topology"
+	"knapweedstall/io/accept"
 	"knapweedstall/io/caller"
 	"knapweedstall/io/operator"
 	"knapweedstall/io/osclock"
@@ -202,11 +203,16 @@
 		operators: server(operator.NewServer(in, string(in.settings.AdminToken))),
 	}
 	for i, srv := range []*http.Server{s.callers, s.peers, s.operators} {
-		go func() { _ = srv.Serve(listeners[i]) }() // returns http.ErrServerClosed at shutdown
+		go func() { _ = srv.Serve(accept.NewListener(listeners[i], in.acceptFailed)) }() // returns http.ErrServerClosed at shutdown
 	}
 	return s
 }
 
+// acceptFailed logs that a connection could not be accepted.
+func (in *Instance) acceptFailed(err error) {
+	in.log.Warn("a connection could not be accepted", "code", "acceptFailed", "err", err)
+}
+
 func (in *Instance) callerHandler() http.Handler {
 	c := caller.NewServer(in, in.tokens, caller.WithLimits(callerLimits(in.settings)))
 	in.addMonitoring(c.Echo())
--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,6 +17,8 @@
 	mu   sync.Mutex
 	idle bool // an answer has been written, and no byte of the next request has been read
 	used bool // a byte has been read
+	// idleSince is when idle was set.
+	idleSince time.Time
 }
 
 // Read implements net.Conn.
@@ -32,7 +35,19 @@
 func (c *callerConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.idle, c.idleSince = true, time.Now()
+}
+
+// minIdleTime is the time after an answer until its connection can be ended to make room
+// for others: the http.Server sets a deadline of its own just after the answer.
+const minIdleTime = 100 * time.Millisecond
+
+// longIdle returns since when the connection has been idle, and whether that is long enough
+// to end it.
+func (c *callerConn) longIdle(now time.Time) (since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, c.idle && now.Sub(c.idleSince) >= minIdleTime
 }
 
 // endIfIdle makes the connection's reads fail if it is idle, or if unused is set and it
@@ -92,3 +107,31 @@
 	}
 	return len(s.conns)
 }
+
+func (s *connSet) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// endLongestIdle ends n connections that have been idle for the longest time, or fewer if
+// there are not so many.
+func (s *connSet) endLongestIdle(n int) {
+	type idleConn struct {
+		conn  *callerConn
+		since time.Time
+	}
+	var idle []idleConn
+	now := time.Now()
+	s.mu.Lock()
+	for c := range s.conns {
+		if since, ok := c.longIdle(now); ok {
+			idle = append(idle, idleConn{c, since})
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, one := range idle[:min(n, len(idle))] {
+		one.conn.endIfIdle(false)
+	}
+}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -7,26 +7,29 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"knapweedstall/core/routing"
+	"knapweedstall/io/accept"
 )
 
 // Server serves callers. A connection keeps the limits that were set when it was opened,
 // since each set of limits has its own http.Server.
 type Server struct {
-	listener deadlineListener
-	handler  http.Handler
+	listener       deadlineListener
+	handler        http.Handler
+	maxConnections int         // open connections; 0 for no bound
+	failed         func(error) // called when a connection could not be accepted
 
 	mu      sync.Mutex
 	limits  routing.Limits
 	current *connListener  // of the server with the current limits
 	servers []*http.Server // for all limits so far
 	closed  bool
+	failure time.Time // when a connection could last not be accepted
 
 	accepting sync.WaitGroup // calls of Serve
 	open      *connSet       // accepted connections that have not been closed
@@ -38,8 +41,20 @@
 	SetDeadline(t time.Time) error
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithMaxConnections bounds the open connections, so that other parts of the process have
+// file descriptors too. Beyond n, those that have been idle for the longest time are ended,
+// and new ones are closed unread when there are not enough idle ones. The default is no
+// bound.
+func WithMaxConnections(n int) Option { return func(s *Server) { s.maxConnections = n } }
+
+// OnFailure sets the function that is called when a connection could not be accepted.
+func OnFailure(f func(error)) Option { return func(s *Server) { s.failed = f } }
+
 // Listen returns a Server that listens on address.
-func Listen(address string, handler http.Handler) (*Server, error) {
+func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -48,11 +63,14 @@
 	if !ok {
 		return nil, errors.WithStack(&ListenerError{Address: address, Listener: l})
 	}
-	return newServer(d, handler), nil
+	return newServer(d, handler, opts...), nil
 }
 
-func newServer(l deadlineListener, handler http.Handler) *Server {
-	s := &Server{listener: l, handler: handler, open: newConnSet()}
+func newServer(l deadlineListener, handler http.Handler, opts ...Option) *Server {
+	s := &Server{listener: l, handler: handler, failed: func(error) {}, open: newConnSet()}
+	for _, o := range opts {
+		o(s)
+	}
 	s.SetLimits(routing.DefaultLimits)
 	return s
 }
@@ -106,22 +124,24 @@
 )
 
 // Serve accepts connections and passes them to the http.Server with the current limits
-// until Shutdown.
+// until Shutdown. An accept that fails, as for want of file descriptors, is repeated.
 func (s *Server) Serve() error {
 	s.accepting.Add(1)
 	defer s.accepting.Done()
+	listener := accept.NewListener(s.listener, s.acceptFailed)
 	for {
-		accepted, err := s.listener.Accept()
+		accepted, err := listener.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil
-			}
-			return errors.WithStack(err)
+			return nil //nolint:nilerr // the listener is closed or its deadline has passed
 		}
 		s.mu.Lock()
 		h := s.current
 		s.mu.Unlock()
 		c := &callerConn{Conn: accepted}
+		if !s.makeRoom() {
+			_ = c.Close() // the caller turns to another instance
+			continue
+		}
 		s.open.add(c)
 		select {
 		case h.conns <- c:
@@ -132,6 +152,45 @@
 	}
 }
 
+// Bounds of open connections, in parts of the maximum.
+const (
+	endedPart  = 32 // of the connections are ended at a time
+	excessPart = 16 // more than the maximum may be open until these are closed
+)
+
+// makeRoom ends connections that have been idle for long if there are too many, and reports
+// whether another one may be opened.
+func (s *Server) makeRoom() bool {
+	if s.maxConnections == 0 {
+		return true
+	}
+	open := s.open.size()
+	if open >= s.maxConnections {
+		s.open.endLongestIdle(open - s.maxConnections + 1 + s.maxConnections/endedPart)
+	}
+	return open < s.maxConnections+s.maxConnections/excessPart+1
+}
+
+// acceptFailed ends some idle connections, since there may be too few file descriptors.
+func (s *Server) acceptFailed(err error) {
+	s.mu.Lock()
+	s.failure = time.Now()
+	s.mu.Unlock()
+	s.open.endLongestIdle(1 + s.open.size()/endedPart)
+	s.failed(err)
+}
+
+// failureTime is how long a server that could not accept a connection counts as one that
+// can't.
+const failureTime = time.Second
+
+// Accepts reports whether the server can accept connections.
+func (s *Server) Accepts() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.failure) > failureTime
+}
+
 // Shutdown stops accepting connections, closes idle ones, waits for requests in progress
 // until ctx is done, and then closes all connections.
 func (s *Server) Shutdown(ctx context.Context) {
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 
+	"github.com/pkg/errors"
+
 	"knapweedstall/core/topology"
 )
 
@@ -17,6 +19,9 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Std())
 	defer cancel()
 	nc, err := p.dialContext(ctx, "tcp", address)
+	if lacksDescriptors(err) && p.closeLongestIdle() {
+		nc, err = p.dialContext(ctx, "tcp", address)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -24,6 +29,11 @@
 	return &conn{Conn: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), target: id, opened: p.clock.Now(), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// lacksDescriptors reports whether err is due to a lack of file descriptors.
+func lacksDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // close closes the connection. It is only called for a connection that is no longer
 // used, so an error has no consequence.
 func (c *conn) close() { _ = c.Close() }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -220,6 +220,25 @@
 	}
 }
 
+// closeLongestIdle closes the connection that has been idle for the longest time, and
+// reports whether there was one.
+func (p *Pool) closeLongestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.idle[oldest.target] = p.idle[oldest.target][1:]
+	oldest.close()
+	return true
+}
+
 // RefusesConnections reports whether the target's address refuses connections, as it
 // does after a crash.
 func (p *Pool) RefusesConnections(ctx context.Context, id topology.TargetID, address string) bool {
