Count the use of leaving targets from when they can have left

Cause: an instance behind a frozen source hears of a removal 1.5 s late, and the time for which a missing or draining target may serve as the last choice ran from then.

Fix: it runs from when the copy was last known to be up to date, but for outages of the store, after which live targets are listed again; frames tell of those.

--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -129,6 +129,12 @@
 // were removed or replaced by a later process with the same id; their connections
 // are of no further use.
 func (s *Set) Update(listings []Listing, now clock.Time) []topology.TargetID {
+	return s.UpdateSince(listings, now, now)
+}
+
+// UpdateSince is Update with listings that were changed at since or later: the limits of
+// the use of targets that are draining or no longer listed run from then.
+func (s *Set) UpdateSince(listings []Listing, since, now clock.Time) []topology.TargetID {
 	listed := make(map[topology.TargetID]bool, len(listings))
 	var removed []topology.TargetID
 	for _, l := range listings {
@@ -143,12 +149,12 @@
 			removed = append(removed, l.ID)
 			s.targets[l.ID] = s.listed(l, now)
 		case known.Listing != l || known.missingSince != 0:
-			known.updateListing(l, now)
+			known.updateListing(l, since, now)
 		}
 	}
 	for id, t := range s.targets {
 		if !listed[id] && t.missingSince == 0 {
-			t.missingSince = now
+			t.missingSince = since
 		}
 	}
 	s.forgetLeaving(listed, now)
--- a/core/replica/set_test.go
+++ b/core/replica/set_test.go
@@ -71,8 +71,12 @@
 			s.Update([]replica.Listing{draining}, 100)
 			s.Update([]replica.Listing{draining}, 3000)
 		}, 1500, map[topology.TargetID]int{"b": 10}},
-		"only draining, after the limit":  {func(s *replica.Set) { s.Update([]replica.Listing{draining}, 100); s.Expire(5000) }, 5000, map[topology.TargetID]int{}},
-		"all missing, within the limit":   {func(s *replica.Set) { s.Update(nil, 100) }, 2000, map[topology.TargetID]int{"a": 5, "b": 5}},
+		"only draining, after the limit": {func(s *replica.Set) { s.Update([]replica.Listing{draining}, 100); s.Expire(5000) }, 5000, map[topology.TargetID]int{}},
+		"all missing, within the limit":  {func(s *replica.Set) { s.Update(nil, 100) }, 2000, map[topology.TargetID]int{"a": 5, "b": 5}},
+		"all missing, learned late":      {func(s *replica.Set) { s.UpdateSince(nil, 100, 1600) }, 2400, map[topology.TargetID]int{}},
+		"draining, learned late": {func(s *replica.Set) {
+			s.UpdateSince([]replica.Listing{draining}, 100, 1550) // and the other one is missing
+		}, 1700, map[topology.TargetID]int{"a": 10}},
 		"all missing, after the limit":    {func(s *replica.Set) { s.Update(nil, 100) }, 2400, map[topology.TargetID]int{}},
 		"evacuated zone":                  {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}) }, 100, map[topology.TargetID]int{}},
 		"evacuation ended":                {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}); s.SetEvacuated(nil) }, 100, map[topology.TargetID]int{"a": 5, "b": 5}},
--- a/core/replica/target.go
+++ b/core/replica/target.go
@@ -125,12 +125,12 @@
 
 func newTarget(l Listing, now clock.Time) *Target {
 	t := &Target{Listing: l, slowness: 1, slownessAt: now}
-	t.updateListing(l, now)
+	t.updateListing(l, now, now)
 	return t
 }
 
 // updateListing applies a newer listing of the same process of the target.
-func (t *Target) updateListing(l Listing, now clock.Time) {
+func (t *Target) updateListing(l Listing, since, now clock.Time) {
 	if l.Address != t.Address {
 		t.downUntil = 0
 	}
@@ -141,7 +141,7 @@
 	case !l.Draining:
 		t.drainingSince = 0
 	case t.drainingSince == 0:
-		t.drainingSince = now
+		t.drainingSince = since
 	}
 }
 
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -21,9 +21,10 @@
 	valid    bool
 }
 
-// apply applies a newer copy of a kind of objects. All instances get the same objects,
+// apply applies a newer copy of a kind of objects, whose changes were made at since or
+// later. All instances get the same objects,
 // so a panic must not end the process: what was in force before stays.
-func (g *Gateway) apply(kind string, k view.Copy) {
+func (g *Gateway) apply(kind string, k view.Copy, since clock.Time) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			g.log.Error("applying a copy of the store's objects failed", "kind", kind, "revision", k.Revision, "cause", cause, "stack", string(debug.Stack()))
@@ -33,7 +34,7 @@
 	case platform.KindConfig:
 		g.applyConfig(k)
 	case platform.KindTargets:
-		g.applyTargets(k)
+		g.applyTargets(k, since)
 	case platform.KindEvacuations:
 		g.applyEvacuations(k)
 	case platform.KindCrashes:
@@ -96,15 +97,15 @@
 }
 
 // applyTargets updates the targets from their entries. Invalid entries are ignored.
-func (g *Gateway) applyTargets(k view.Copy) {
-	listings, removed := g.updateTargets(k)
+func (g *Gateway) applyTargets(k view.Copy, since clock.Time) {
+	listings, removed := g.updateTargets(k, since)
 	g.pool.CloseIdle(removed)
 	g.log.Debug("targets updated", "revision", k.Revision, "targets", listings)
 }
 
 // updateTargets updates the targets and returns the number of valid entries, and the
 // targets that were removed.
-func (g *Gateway) updateTargets(k view.Copy) (valid int, removed []topology.TargetID) {
+func (g *Gateway) updateTargets(k view.Copy, since clock.Time) (valid int, removed []topology.TargetID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listings := make([]replica.Listing, 0, len(k.Objects))
@@ -125,7 +126,7 @@
 	}
 	clear(g.zoneCoverage)
 	now := g.clock.Now()
-	removed = g.targets.Update(listings, now)
+	removed = g.targets.UpdateSince(listings, since, now)
 	g.observeVersions(listings, now)
 	return len(listings), removed
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -127,6 +127,7 @@
 			}
 			if g.clock.Now().Sub(failedAt) >= unavailableAfter {
 				g.views.setWatched(kind, false)
+				g.views.markAway()
 				wait = noWait
 				g.syncFromPeer(ctx)
 			}
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -61,7 +61,7 @@
 	if t := v.transitions[name]; t != nil {
 		k.Objects = t.Objects(k, preferenceOf(name))
 	}
-	v.apply(name, k)
+	v.apply(name, k, v.changedSince(name))
 }
 
 // era returns the highest era of the copies.
--- a/gateway/rollout_internal_test.go
+++ b/gateway/rollout_internal_test.go
@@ -42,7 +42,7 @@
 		"without changes": {map[string]relay.OptionalDelta{platform.KindRollouts: {Age: 300}}, state{true, 100, noCopyAge}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			v := newViews(&manualClock{1000}, []string{platform.KindRollouts}, func(string, view.Copy) {}, func(string, view.Copy) {})
+			v := newViews(&manualClock{1000}, []string{platform.KindRollouts}, func(string, view.Copy, clock.Time) {}, func(string, view.Copy) {})
 			f := frame
 			f.Optional = c.optional
 			v.merge(f)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -64,6 +64,7 @@
 		return true
 	}
 	g.log.Debug("store does not answer", "err", err)
+	g.views.markAway()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.chooser.ProbeFailed(g.clock.Now())
@@ -235,6 +236,7 @@
 			return ctx.Err() == nil
 		}
 		g.log.Debug("store does not answer", "err", err)
+		g.views.markAway()
 		search.begin()
 		pause, goOn := g.pollPause(ctx)
 		if !goOn {
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -30,7 +30,9 @@
 // implements relay.Source.
 type views struct {
 	clock clock.Clock
-	apply func(kind string, k view.Copy) // applies a newer copy; called in the order of the revisions
+	// apply applies a newer copy; called in the order of the revisions. The changes were made
+	// at since or later, as far as is known.
+	apply func(kind string, k view.Copy, since clock.Time)
 	// restored is called with the first copy of a kind after the store was restored from
 	// an older copy.
 	restored func(kind string, first view.Copy)
@@ -41,13 +43,17 @@
 	// freshAt is, for each kind, when the copy was last known to be up to date.
 	freshAt map[string]clock.Time
 	watched map[string]bool // a watch of the store returns each change at once
+	// storeAway tells that the store has not answered, this instance or the one whose copies
+	// it gets, since the copies were last up to date. Entries of live targets may have
+	// expired then.
+	storeAway bool
 	// transitions holds the kinds whose copies are being joined with those of the
 	// store's earlier era.
 	transitions map[string]*view.Transition
 	changed     chan struct{} // closed and replaced at each change
 }
 
-func newViews(c clock.Clock, optional []string, apply, restored func(string, view.Copy)) *views {
+func newViews(c clock.Clock, optional []string, apply func(string, view.Copy, clock.Time), restored func(string, view.Copy)) *views {
 	return &views{
 		clock: c, optional: optional, apply: apply, restored: restored, copies: map[string]view.Copy{}, freshAt: map[string]clock.Time{},
 		watched: map[string]bool{}, transitions: map[string]*view.Transition{}, changed: make(chan struct{}),
@@ -105,6 +111,27 @@
 		v.freshAt[name] = v.clock.Now()
 	}
 	v.watched[name] = watched
+	if watched && name == platform.KindTargets {
+		v.storeAway = false
+	}
+}
+
+// markAway notes that the store does not answer.
+func (v *views) markAway() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.storeAway = true
+}
+
+// changedSince returns the time at or after which the changes of a kind that are applied now
+// were made. After an outage of the store, it is now: entries that have expired in it are
+// written again. mu must be held.
+func (v *views) changedSince(name string) clock.Time {
+	now := v.clock.Now()
+	if v.watched[name] || v.storeAway || v.freshAt[name] == 0 {
+		return now
+	}
+	return v.freshAt[name]
 }
 
 // markLost notes that the store has been unavailable since at, and wakes the
@@ -112,6 +139,7 @@
 func (v *views) markLost(at clock.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.storeAway = true
 	for _, name := range v.kinds() {
 		if v.watched[name] {
 			v.watched[name], v.freshAt[name] = false, at
@@ -141,6 +169,9 @@
 	defer v.mu.Unlock()
 	v.mergeDeltas(f)
 	now := v.clock.Now()
+	if v.freshAt[platform.KindTargets].Before(now.Add(-f.Age)) { // the other instance knows better
+		v.storeAway = f.StoreAway
+	}
 	for _, name := range requiredKinds {
 		v.refreshed(name, now.Add(-f.Age))
 	}
@@ -160,6 +191,7 @@
 
 // mergeDeltas is mergeObjects with mu held.
 func (v *views) mergeDeltas(f relay.Frame) {
+	v.storeAway = v.storeAway || f.StoreAway
 	for name, d := range f.Deltas {
 		v.change(name, func(k view.Copy) view.Copy { return k.Merge(d) })
 	}
@@ -231,7 +263,7 @@
 func (v *views) Since(have map[string]view.Revision) (relay.Frame, <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	f := relay.Frame{Age: v.ageLocked(), Deltas: map[string]view.Delta{}}
+	f := relay.Frame{Age: v.ageLocked(), StoreAway: v.storeAway, Deltas: map[string]view.Delta{}}
 	for name, k := range v.copies {
 		if k.Revision > have[name] && !slices.Contains(v.optional, name) {
 			f.Deltas[name] = k.Since(have[name])
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -36,6 +36,9 @@
 	// neither reads nor sends it, so that it can't pass such objects on without the
 	// fields that it does not know.
 	Optional map[string]OptionalDelta `cbor:"3,keyasint,omitempty"`
+	// StoreAway tells that the store has not answered since the source's copies were last
+	// up to date. An older build does not send it.
+	StoreAway bool `cbor:"4,keyasint,omitempty"`
 }
 
 // OptionalDelta describes the source's copy of an optional kind. Every frame has one for
