--- a/io/upstream/body.go
+++ b/io/upstream/body.go
@@ -55,9 +55,10 @@
 func (r *reservation) release(n int64) { r.used.Add(-n) }
 
 // readBody reads the whole body of an answer. The memory that it takes grows with the
-// bytes that arrive, not with the length that the target states.
+// bytes that arrive, not with the length that the target states. It does not close the
+// body, which would read on to the end of one that has been given up; the connection is
+// closed then.
 func (r *reservation) readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }() // the body has been read or is given up
 	if resp.ContentLength > maxAnswerBytes {
 		return nil, &TooLargeError{Limit: maxAnswerBytes}
 	}
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -132,7 +132,7 @@
 	request := &http.Request{Method: r.Method}
 	for skipped, interim := 0, 0; ; skipped++ {
 		c.limit.left = maxHeadBytes
-		resp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // readBody closes it
+		resp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // it holds nothing but the connection, see readBody
 		if err != nil {
 			return lostAnswer(err), false
 		}
