Keep the pause of a target whose entry was missing

A target that had asked for no requests got some before the end of the pause when its entry had been missing after an outage of the store: the pause went with the target.

Measured: TestPauseOutlastsEntry, the target gets a request within the pause without the fix.

--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -96,6 +96,7 @@
 	reach       reach.Monitor
 	probeDue    bool // a probe of reach must be made
 	leaving     map[topology.TargetID]leavingMark
+	paused      map[topology.TargetID]pauseMark
 	slotPhase   float64 // of the slots of limited targets, above 0 to 1; 0 until a target is limited
 	// periods holds the periods of the pauses of services' targets; only services of
 	// which a target has stalled have one.
@@ -110,6 +111,7 @@
 		services:    map[routing.ServiceName][]*Target{},
 		evacuated:   map[topology.ZoneID]bool{},
 		leaving:     map[topology.TargetID]leavingMark{},
+		paused:      map[topology.TargetID]pauseMark{},
 		periods:     map[routing.ServiceName]*pause.Period{},
 		maySendCold: func(topology.TargetID, int) bool { return false },
 		isShard:     func(routing.ServiceName) bool { return false },
@@ -158,6 +160,7 @@
 		}
 	}
 	s.forgetLeaving(listed, now)
+	s.forgetPauses(now)
 	s.rebuildIndex()
 	return append(removed, s.Expire(now)...)
 }
--- a/core/replica/statement.go
+++ b/core/replica/statement.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"math"
 
 	"knapweedstall/core/clock"
@@ -79,6 +80,14 @@
 	}
 	spread := min(clock.Duration(pauseSpread*float64(p.Length)), maxPauseSpread)
 	t.pauseUntil = max(t.pauseUntil, now.Add(p.Length+clock.Duration(s.random.Int64N(int64(spread)+1))))
+	s.paused[t.ID] = pauseMark{t.StartedUnixMS, t.pauseUntil}
+}
+
+// pauseMark notes until when a process of a target has asked for no requests. It outlasts
+// the target's entry, which may be missing for some time after an outage of the store.
+type pauseMark struct {
+	startedUnixMS int64 // of the process
+	until         clock.Time
 }
 
 // recovering reports whether a pause of t has ended so recently that t gets one request
@@ -98,9 +107,17 @@
 	default:
 		t.leavingStated, t.drainingSince = true, mark.since
 	}
+	if pause, ok := s.paused[l.ID]; ok && pause.startedUnixMS == l.StartedUnixMS {
+		t.pauseUntil = pause.until
+	}
 	return t
 }
 
+// forgetPauses removes the marks of pauses that have ended.
+func (s *Set) forgetPauses(now clock.Time) {
+	maps.DeleteFunc(s.paused, func(_ topology.TargetID, p pauseMark) bool { return !now.Before(p.until) })
+}
+
 // forgetLeaving removes the marks of targets that have not been listed for
 // leavingMemory.
 func (s *Set) forgetLeaving(listed map[topology.TargetID]bool, now clock.Time) {
--- a/core/replica/statement_test.go
+++ b/core/replica/statement_test.go
@@ -83,6 +83,37 @@
 	}
 }
 
+// TestPauseOutlastsEntry guards against requests to a target that has asked for none,
+// because its entry was missing for some time after an outage of the store.
+func TestPauseOutlastsEntry(t *testing.T) {
+	const asked, missing, back = 1000, 2000, 8000
+	for name, c := range map[string]struct {
+		restarted bool
+		at        clock.Time
+		picked    bool
+	}{
+		"within the pause":         {false, back + 1, false},
+		"after the pause":          {false, 32_000, true},
+		"restarted with its entry": {true, back + 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := replica.NewSet("z1", rand.New(rand.NewPCG(1, 2)))
+			l := listing("a", "z1")
+			s.Update([]replica.Listing{l}, asked)
+			s.ObservePause(s.Target("a"), replica.NewStatedPause(30, true), asked)
+			s.Update(nil, missing)
+			s.Expire(missing + 5000)
+			if c.restarted {
+				l.StartedUnixMS++
+			}
+			s.Update([]replica.Listing{l}, back)
+			if got := s.Pick("s", defaultService, nil, replica.First, c.at).Target != nil; got != c.picked {
+				t.Errorf("the target gets a request: %v, want %v", got, c.picked)
+			}
+		})
+	}
+}
+
 // TestReturnAfterPause plays a target that asks all instances for a pause at the same
 // moment, under a load that each instance offers without end. It guards against a burst
 // when the pause ends: within the first 100 ms after it, a target gets no more than one
