serve: don't take a late copy of a refusal for the answer to a later call

A late copy of the refusal of a call counted as that of the next call on the connection, so that a run which must not be repeated was said not to have run while the target ran it.

Fix: a target's reply states the id of the call (docs/design.md, 15.1); the client takes a reply to another call for a lost answer and closes the connection.

--- a/emulator/target/call.go
+++ b/emulator/target/call.go
@@ -221,6 +221,9 @@
 
 // writeReply writes the reply or refusal for an ended call, or closes its connection.
 func (s *Server) writeReply(c echo.Context, a admission, r Request) error {
+	if id := c.Request().Header.Get(HeaderCall); id != "" {
+		c.Response().Header().Set(HeaderCall, id)
+	}
 	switch a.outcome {
 	case OutcomeAnswered, OutcomeSnapshotGone:
 		return c.JSON(http.StatusOK, s.newReply(c.Path(), a, r))
--- a/emulator/target/protocol.go
+++ b/emulator/target/protocol.go
@@ -12,7 +12,7 @@
 
 // Headers of the target protocol. The times are absolute, in Unix ms.
 const (
-	HeaderCall     = "X-Call-Id" // id of a call, for POST /v1/cancel
+	HeaderCall     = "X-Call-Id" // id of a call, for POST /v1/cancel; its answer states it too
 	HeaderStartBy  = "X-Start-By-Unix-Ms"
 	HeaderDeadline = "X-Deadline-Unix-Ms"
 )
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -47,6 +47,13 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Cause }
 
+// MismatchedAnswerError reports that the answer on a connection is to another call, as a
+// second copy of an earlier answer that comes late.
+type MismatchedAnswerError struct{ ID string }
+
+// Error implements error.
+func (e *MismatchedAnswerError) Error() string { return "answer to another call: " + e.ID }
+
 // ProtocolError reports that a target's answer violates the protocol.
 type ProtocolError struct {
 	Status int
@@ -179,7 +186,10 @@
 		}
 		return Answer{}, newLostError(ctx, err)
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = resp.Body.Close() }() // also closes the connection if the body has not been read
+	if id := resp.Header.Get(HeaderCall); id != "" && id != call.ID {
+		return Answer{}, newLostError(ctx, &MismatchedAnswerError{ID: id})
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return Answer{}, newLostError(ctx, err)
