Count the reports of an instance whose clock was set back

The reports on a roll-out of an instance that was started again after its clock had been set back were left out of the sums for good: its run looks earlier than the one before.

Fix: an earlier run counts once the later one has been silent for the lifetime of a reporter.

Measured: TestReportsAfterClockSetBack, the case "the other is silent" fails without the fix.

--- a/core/rollout/reporters.go
+++ b/core/rollout/reporters.go
@@ -53,7 +53,9 @@
 }
 
 // receive merges a report. A report that is not later than the last one of the same run
-// adds nothing.
+// adds nothing, and neither does one of an earlier run, unless the later one has been silent
+// for reporterLifetime: the order of runs follows the clock of the day, which may have been
+// set back before the process was started again.
 func (rs *reporters) receive(from topology.InstanceID, r Report, o OrderReport, now clock.Time) (*reporter, delta) {
 	s := rs.byID[from]
 	if s == nil {
@@ -61,7 +63,8 @@
 		rs.byID[from] = s
 	}
 	first := s.run != r.Run || s.epoch != o.Epoch
-	if r.Run < s.run || !first && r.Number <= s.number || r.Run == s.run && o.Epoch < s.epoch {
+	earlier := r.Run < s.run && now.Sub(s.at) <= reporterLifetime
+	if earlier || !first && r.Number <= s.number || r.Run == s.run && o.Epoch < s.epoch {
 		return s, delta{}
 	}
 	d := delta{evidence: o.Evidence, span: max(o.Age, ReportPeriod)}
