Begin a second transition from what is in force

When the store came back from an older copy twice within 10 s, what the first transition had kept was gone with the second: targets and configurations that the store had lost, and targets that had left were used again.

Cause: the second transition began from the plain copy of the era between.

Fix: it begins from that copy as joined by the first transition.

Measured: TestSecondTransition; from the plain copy, as before, two objects are missing or old and one that had been removed is back.

--- a/core/view/transition.go
+++ b/core/view/transition.go
@@ -45,3 +45,17 @@
 	}
 	return objects
 }
+
+// Joined returns the copy current of the new era as it is in force during the transition,
+// so that another transition can begin from it.
+func (t *Transition) Joined(current Copy, prefer Prefer) Copy {
+	joined := current
+	joined.Objects = t.Objects(current, prefer)
+	joined.removed = clone(current.removed)
+	for name, at := range t.last.removed {
+		if _, present := joined.Objects[name]; !present {
+			joined.removed[name] = at
+		}
+	}
+	return joined
+}
--- a/core/view/transition_test.go
+++ b/core/view/transition_test.go
@@ -65,3 +65,31 @@
 	}, at(2, 14))
 	check("after they are written again", later, map[string]string{"same": "x", "changed": "newest", "left": "back"})
 }
+
+// TestSecondTransition plays a store that is restored twice in short time. It guards against
+// objects that the first transition has kept, and that are gone with the second one, and
+// against removed ones that are used again.
+func TestSecondTransition(t *testing.T) {
+	at := view.NewRevision
+	object := func(r view.Revision, spec string) view.Object { return view.Object{Revision: r, Spec: []byte(spec)} }
+	old := func(era view.Era) view.Copy {
+		return view.NewCopy(map[string]view.Object{"same": object(at(era, 1), "x"), "left": object(at(era, 2), "x"), "changed": object(at(era, 3), "old")}, at(era, 10))
+	}
+	last := old(1).Apply([]view.Event{
+		{Name: "added", Object: object(at(1, 11), "x")},
+		{Name: "changed", Object: object(at(1, 12), "new")},
+		{Name: "left", Deleted: true},
+	}, at(1, 12))
+	keepLast := func(last, _ view.Object) view.Object { return last }
+	first := view.NewTransition(last, old(2))
+	current := old(2).Apply([]view.Event{{Name: "written", Object: object(at(2, 11), "x")}}, at(2, 11))
+	second := view.NewTransition(first.Joined(current, keepLast), old(3))
+	got := map[string]string{}
+	for name, o := range second.Objects(old(3), keepLast) {
+		got[name] = string(o.Spec)
+	}
+	want := map[string]string{"same": "x", "added": "x", "changed": "new", "written": "x"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("objects (-want +got):\n%s", diff)
+	}
+}
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -15,9 +15,13 @@
 // two, and operators what they find missing.
 const transitionTime = 10 * clock.Second
 
-// beginTransition notes that the store has been restored from an older copy. mu must be
-// held.
+// beginTransition notes that the store has been restored from an older copy. It begins from
+// what is in force, which is not the last copy if another transition is in progress. mu must
+// be held.
 func (v *views) beginTransition(name string, last, first view.Copy) {
+	if t := v.transitions[name]; t != nil {
+		last = t.Joined(last, preferenceOf(name))
+	}
 	t := view.NewTransition(last, first)
 	v.transitions[name] = t
 	go v.restored(name, first)
