--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,7 +60,8 @@
 			env := newEnvironment(t, instanceCount)
 			env.eventually("all instances are ready", 10*time.Second, func(inst *instance) bool { return inst.isReady() })
 			s := &soakRun{
-				environment: env, random: rand.New(rand.NewPCG(seed, 0)), later: rand.New(rand.NewPCG(seed, 1)), responses: map[string]response{},
+				environment: env, random: rand.New(rand.NewPCG(seed, 0)), later: rand.New(rand.NewPCG(seed, 1)),
+				entries: rand.New(rand.NewPCG(seed, 2)), responses: map[string]response{},
 			}
 			s.run()
 			if t.Failed() {
@@ -86,6 +87,7 @@
 	*environment
 	random      *rand.Rand
 	later       *rand.Rand // selects faults that were added later, so that earlier seeds select the same others
+	entries     *rand.Rand // the same for faults of entries in the store
 	snapshot    platformtest.Snapshot
 	lastRequest atomic.Int64
 	// terminations waits for the instances that are stopping.
@@ -105,6 +107,7 @@
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		s.injectFault()
 		s.injectLaterFault()
+		s.injectEntryFault()
 		time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
 	}
 	s.clearFaults()
