Take back what a source said when it has found that it was out of date

Cause, by the log of the test: the first reader finds out after 1.8 s. Its followers go to the next reader then, which had been told until that moment that it was up to date, and follow that until its copies are 0.9 s old. Besides, a source that is out of date counted as lost, not as reached, so that the turns to probe the store began 0.5 s later.

Fix: a follower's copies are as old as its source says once that has found out, and such a source counts as reached.

--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -97,9 +97,13 @@
 const (
 	Unreachable Outcome = iota // it sent nothing
 	Stale                      // it was not up to date
-	Lost                       // it was up to date, and was lost or is no longer up to date
+	Lost                       // it was up to date, and was lost
+	Outdated                   // it was up to date, and no longer is
 )
 
+// reached reports whether the candidate could be reached and was not up to date.
+func (o Outcome) reached() bool { return o == Stale || o == Outdated }
+
 // attempt is the state of one candidate.
 type attempt struct {
 	outcome  Outcome
@@ -190,7 +194,7 @@
 	seen := 0
 	for _, candidate := range c.candidates {
 		a := c.attempts[candidate]
-		if a == nil || a.outcome != Stale {
+		if a == nil || !a.outcome.reached() {
 			continue
 		}
 		if now.Sub(a.endedAt) > turnLag {
@@ -239,7 +243,7 @@
 // Candidate returns the address of a candidate to try at now, for an instance that
 // watches the store but would rather follow one. It returns "" if there is none.
 func (c *Chooser) Candidate(now clock.Time) string {
-	address, _ := c.candidate(readers, now)
+	address, _ := c.candidate(maxLooks, now)
 	return address
 }
 
@@ -252,7 +256,7 @@
 		if address == "" && (a == nil || !now.Before(a.retryAt)) {
 			address = candidate
 		}
-		if a != nil && a.outcome == Stale {
+		if a != nil && a.outcome.reached() {
 			reached++
 		}
 		if reached == limit {
@@ -273,7 +277,7 @@
 	if o == Unreachable {
 		delay, most = unreachableRetryDelay, maxUnreachableRetryDelay
 	}
-	if o == Lost {
+	if o == Lost || o == Outdated {
 		c.lostAt, a.failures = now, 0
 	}
 	a.endedAt = now
--- a/core/source/simulation_test.go
+++ b/core/source/simulation_test.go
@@ -122,7 +122,11 @@
 	case m.source != nil:
 		m.fresh = m.source.alive && m.source.fresh
 		if !m.fresh {
-			m.chooser.Ended(m.source.Address, source.Lost, f.now)
+			outcome := source.Lost
+			if m.source.alive {
+				outcome = source.Outdated
+			}
+			m.chooser.Ended(m.source.Address, outcome, f.now)
 			m.source, m.wakeAt = nil, f.now
 		}
 		return
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -276,6 +276,7 @@
 	cut        atomic.Bool
 	refuse     atomic.Bool // calls are not executed
 	turnedAway atomic.Bool // the same, with status 503
+	silent     atomic.Bool // calls get no answer
 }
 
 // turnAway refuses calls with status 503 from now on, and ends those that wait.
@@ -284,6 +285,15 @@
 	l.server.CloseClientConnections()
 }
 
+// reset ends each call without an answer from now on, also those that wait.
+func (l *storeLink) reset() {
+	l.refuse.Store(true)
+	l.server.CloseClientConnections()
+}
+
+// fallSilent leaves calls without an answer from now on, also those that wait.
+func (l *storeLink) fallSilent() { l.silent.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (l *storeLink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if l.refuse.Load() {
@@ -298,6 +308,10 @@
 	if l.cut.Load() { // also for a watch that was open before
 		panic(http.ErrAbortHandler)
 	}
+	if l.silent.Load() { // the same
+		<-r.Context().Done()
+		return
+	}
 	w.WriteHeader(answer.Code)
 	_, _ = w.Write(answer.Body.Bytes()) // fails only when the instance has disconnected
 }
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -152,18 +152,19 @@
 // returns whether it has.
 func (g *Gateway) followCandidate(ctx context.Context, address string, onFollowing func()) bool {
 	outcome, err := g.followPeer(ctx, address, onFollowing)
+	followed := outcome == source.Lost || outcome == source.Outdated
 	if ctx.Err() != nil {
-		return outcome == source.Lost
+		return followed
 	}
 	g.mu.Lock()
 	g.chooser.Ended(address, outcome, g.clock.Now())
 	g.mu.Unlock()
-	if outcome == source.Lost {
+	if followed {
 		g.metrics.sourcesLost.Inc(1)
 		g.log.Info("source lost", "source", address, "err", err)
 		g.views.wakeFollowers()
 	}
-	return outcome == source.Lost
+	return followed
 }
 
 // watchStore reads the store and meanwhile looks for a candidate to follow instead. It
@@ -291,6 +292,8 @@
 		g.views.merge(f)
 		switch {
 		case f.Age > g.maxSourceAge() && outcome == source.Lost:
+			outcome = source.Outdated
+			g.views.takeBack(f)
 			return false
 		case f.Age > g.maxSourceAge():
 			outcome = source.Stale
--- a/gateway/turnedaway_test.go
+++ b/gateway/turnedaway_test.go
@@ -13,6 +13,14 @@
 // act on an old configuration, because they wait for the readers of their zone, which the
 // store turns away.
 func TestTurnedAwayReadersDontKeepFromStore(t *testing.T) {
+	for name, turnAway := range map[string]func(*storeLink){
+		"status 503": (*storeLink).turnAway, "reset": (*storeLink).reset, "silence": (*storeLink).fallSilent,
+	} {
+		t.Run(name, func(t *testing.T) { testTurnedAwayReaders(t, turnAway) })
+	}
+}
+
+func testTurnedAwayReaders(t *testing.T, turnAway func(*storeLink)) {
 	const (
 		instances, turnedAway = 7, 3
 		due                   = 3 * time.Second // as in the settings
@@ -36,7 +44,7 @@
 	env.eventually("the instances are known", func() bool { return len(env.store.Names(platform.KindInstances)) == instances })
 	time.Sleep(5 * time.Second) // each instance has found the one that it follows
 	for _, link := range links {
-		link.turnAway()
+		turnAway(link)
 	}
 	env.configure(2, false)
 	acknowledged := time.Now()
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -182,6 +182,21 @@
 	}
 }
 
+// takeBack notes that the copies are only as up to date as the source says now. It has found
+// that it was missing changes when it said that it was not, and so were those that follow
+// it.
+func (v *views) takeBack(f relay.Frame) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := v.clock.Now().Add(-f.Age)
+	for _, name := range v.kinds() {
+		if !v.watched[name] && at.Before(v.freshAt[name]) {
+			v.freshAt[name] = at
+		}
+	}
+	v.notify()
+}
+
 // mergeObjects updates the copies with another instance's frame.
 func (v *views) mergeObjects(f relay.Frame) {
 	v.mu.Lock()
