--- a/io/ingress/descriptors_test.go
+++ b/io/ingress/descriptors_test.go
@@ -64,6 +64,11 @@
 	if _, err := fmt.Fprint(c, request); err != nil {
 		return false
 	}
+	return c.answered()
+}
+
+// answered reads an answer and reports whether there was one.
+func (c *keptConn) answered() bool {
 	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
 	resp, err := http.ReadResponse(c.answers, nil)
 	if err != nil {
@@ -126,10 +131,7 @@
 		time.Sleep(minIdleTime / most * 2)
 	}
 	close(release)
-	_ = working.SetReadDeadline(time.Now().Add(2 * time.Second))
-	if resp, err := http.ReadResponse(working.answers, nil); err != nil {
-		t.Errorf("the request in progress got no answer: %v", err)
-	} else {
-		_ = resp.Body.Close()
+	if !working.answered() {
+		t.Error("the request in progress got no answer")
 	}
 }
--- a/io/ingress/idle_test.go
+++ b/io/ingress/idle_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -58,95 +57,87 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// TestShutdownAnswersCrossingRequest guards against a planned stop that closes a kept
-// connection on which a request has just been read: it was passed on to targets and got
-// no answer.
-func TestShutdownAnswersCrossingRequest(t *testing.T) {
+// crossingServer starts a server with the handler and connects a caller to it whose request
+// crosses the end of the connection.
+func crossingServer(t *testing.T, handler func(*crossingListener) http.HandlerFunc) (*Server, *crossingListener, *keptConn) {
+	t.Helper()
 	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &crossingListener{TCPListener: tcp}
-	s := newServer(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-time.After(50 * time.Millisecond):
-			w.WriteHeader(http.StatusNoContent)
-		case <-r.Context().Done(): // the request is given up
-		}
-	}))
+	s := newServer(l, handler(l))
 	go func() { _ = s.Serve() }() // ends with the shutdown
-	c, err := net.Dial("tcp", s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() })
-	answers := bufio.NewReader(c)
-	if _, err := fmt.Fprint(c, request); err != nil {
-		t.Fatal(err)
+	c := dial(t, s)
+	l.caller = c
+	return s, l, c
+}
+
+// work waits for d, or until the request is given up, and reports whether it is answered.
+func work(d time.Duration, r *http.Request) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
 	}
-	if _, err := http.ReadResponse(answers, nil); err != nil { //nolint:bodyclose // there is no body
-		t.Fatal(err)
+}
+
+// shutdown shuts the server down within limit.
+func shutdown(t *testing.T, s *Server, limit time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	s.Shutdown(ctx)
+}
+
+// TestShutdownAnswersCrossingRequest guards against a planned stop that closes a kept
+// connection on which a request has just been read: it was passed on to targets and got
+// no answer.
+func TestShutdownAnswersCrossingRequest(t *testing.T) {
+	s, l, c := crossingServer(t, func(*crossingListener) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if work(50*time.Millisecond, r) {
+				w.WriteHeader(http.StatusNoContent)
+			}
+		}
+	})
+	if !c.ask() {
+		t.Fatal("the first request is not answered")
 	}
 	time.Sleep(20 * time.Millisecond) // until the server waits for the next request
-	l.caller = c
 	l.idle.Store(true)
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	s.Shutdown(ctx)
-	_ = c.SetReadDeadline(time.Now().Add(time.Second))
-	resp, err := http.ReadResponse(answers, nil)
-	if err != nil {
-		t.Fatalf("the request got no answer: %v", err)
+	shutdown(t, s, 2*time.Second)
+	if !c.answered() {
+		t.Fatal("the request got no answer")
 	}
-	_ = resp.Body.Close()
 }
 
 // TestShutdownAnswersLateCrossingRequest guards against the same on a connection whose
 // answer in progress ends late in the stop.
 func TestShutdownAnswersLateCrossingRequest(t *testing.T) {
-	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &crossingListener{TCPListener: tcp}
 	var handled atomic.Int64
-	s := newServer(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		work := newConnectionTime + 300*time.Millisecond
-		if handled.Add(1) > 1 {
-			work = 50 * time.Millisecond
-		}
-		select {
-		case <-time.After(work):
-			l.idle.Store(true) // the answer is written now
-			w.WriteHeader(http.StatusNoContent)
-		case <-r.Context().Done(): // the request is given up
+	s, _, c := crossingServer(t, func(l *crossingListener) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			duration := newConnectionTime + 300*time.Millisecond
+			if handled.Add(1) > 1 {
+				duration = 50 * time.Millisecond
+			}
+			if work(duration, r) {
+				l.idle.Store(true) // the answer is written now
+				w.WriteHeader(http.StatusNoContent)
+			}
 		}
-	}))
-	go func() { _ = s.Serve() }() // ends with the shutdown
-	c, err := net.Dial("tcp", s.Address())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() })
-	l.caller = c
-	answers := bufio.NewReader(c)
+	})
 	if _, err := fmt.Fprint(c, request); err != nil {
 		t.Fatal(err)
 	}
 	for handled.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
-	defer cancel()
-	s.Shutdown(ctx)
+	shutdown(t, s, 4*time.Second)
 	answered := int64(0)
-	_ = c.SetReadDeadline(time.Now().Add(time.Second))
-	for {
-		resp, err := http.ReadResponse(answers, nil)
-		if err != nil {
-			break
-		}
-		_ = resp.Body.Close()
+	for c.answered() {
 		answered++
 	}
 	if got := handled.Load(); got != answered {
