Recognize requests that crash targets for each workspace

Cause: the fingerprint of a request left out the workspace, which targets get in a header. Ruled out: too few targets and admission control, since the third workspace uses the same service and is served.

The fingerprint covers the workspace now.

--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -17,11 +17,18 @@
 // distinguish requests.
 const fingerprintBytes = 12
 
-// NewFingerprint returns the Fingerprint of a request. It does not cover the
-// request's id, since a caller that sends the request again uses another one.
-func NewFingerprint(method, host, uri string, body []byte) Fingerprint {
+// NewFingerprint returns the Fingerprint of a request of a workspace, "" for none. It
+// covers the workspace, since a target may crash on the requests of one caller only, but
+// not the key, which targets don't get. It covers neither the request's id nor other
+// headers: a caller that sends the request again may change them each time. Without a
+// workspace, it is that of earlier builds.
+func NewFingerprint(caller topology.WorkspaceID, method, host, uri string, body []byte) Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{method, host, uri} {
+	parts := []string{method, host, uri}
+	if caller != "" {
+		parts = append([]string{"", string(caller)}, parts...) // no method is empty
+	}
+	for _, part := range parts {
 		h.Write([]byte(part)) // a hash never returns an error
 		h.Write([]byte{0})
 	}
--- a/core/poison/tracker_test.go
+++ b/core/poison/tracker_test.go
@@ -40,13 +40,14 @@
 // TestFingerprint checks that different requests have different fingerprints, and
 // that a request has the same one when it is sent again.
 func TestFingerprint(t *testing.T) {
-	f := poison.NewFingerprint("GET", "h", "/a", nil)
-	if f != poison.NewFingerprint("GET", "h", "/a", []byte{}) {
+	f := poison.NewFingerprint("", "GET", "h", "/a", nil)
+	if f != poison.NewFingerprint("", "GET", "h", "/a", []byte{}) {
 		t.Error("the same request has two fingerprints")
 	}
 	for _, other := range []poison.Fingerprint{
-		poison.NewFingerprint("POST", "h", "/a", nil), poison.NewFingerprint("GET", "h", "/b", nil),
-		poison.NewFingerprint("GET", "h", "/a", []byte("x")), poison.NewFingerprint("GET", "h/", "a", nil),
+		poison.NewFingerprint("", "POST", "h", "/a", nil), poison.NewFingerprint("", "GET", "h", "/b", nil),
+		poison.NewFingerprint("", "GET", "h", "/a", []byte("x")), poison.NewFingerprint("", "GET", "h/", "a", nil),
+		poison.NewFingerprint("w", "GET", "h", "/a", nil), poison.NewFingerprint("GET", "h", "/a", "", nil),
 	} {
 		if f == other {
 			t.Error("two different requests have the same fingerprint")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -276,7 +276,7 @@
 		names = env.store.Names(platform.KindCrashes)
 		return len(names) > 0
 	})
-	want := string(poison.NewFingerprint("GET", host, "/search/1", nil))
+	want := string(poison.NewFingerprint("", "GET", host, "/search/1", nil))
 	for _, name := range names {
 		if !strings.HasPrefix(name, want+".") {
 			t.Errorf("crash object %s, want one of the fingerprint %s", name, want)
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -5,6 +5,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/routing"
+	"knapweedstall/core/topology"
 	"knapweedstall/core/workspace"
 	"knapweedstall/platform"
 )
@@ -32,6 +33,14 @@
 	return nil, false
 }
 
+// workspaceID returns the id of the workspace of a caller, "" for none.
+func workspaceID(owner *routing.Workspace) topology.WorkspaceID {
+	if owner == nil {
+		return ""
+	}
+	return owner.ID
+}
+
 // forwardedHeader returns the headers of a caller's request that targets get.
 func forwardedHeader(r *http.Request, keys *workspace.Directory, owner *routing.Workspace) http.Header {
 	switch {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -128,7 +128,7 @@
 	if !ok || !credit.renew(w, r) {
 		return
 	}
-	fingerprint := poison.NewFingerprint(r.Method, r.Host, r.RequestURI, body)
+	fingerprint := poison.NewFingerprint(workspaceID(owner), r.Method, r.Host, r.RequestURI, body)
 	if g.quarantined(fingerprint) {
 		g.refuse(w, r, "the request crashes targets", retryMax)
 		return
