Don't refuse a request that targets answer because of crashes that met it

Cause: core/poison counted crashes under a request and nothing that speaks for it, and a refused request gets no answer. Ruled out: that it does crash targets (they are killed from outside) and that too few are left (it goes on when all are back).

An answer disproves earlier crashes, at all instances, by a record in the store; a crash that a worse request explains does not count; a target that has said that it stops did not crash; and one instance of all, selected by a conditional write, tries a refused request 30 s after its latest crash, then ever more rarely.

--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -340,6 +340,12 @@
 	s.probeDue = s.reach.Unanswered(t.ID, sent) || s.probeDue
 }
 
+// Leaving reports whether the target with the id is about to stop, or is no longer listed.
+func (s *Set) Leaving(id topology.TargetID) bool {
+	t := s.targets[id]
+	return t == nil || t.leaving()
+}
+
 // Size returns the number of known targets.
 func (s *Set) Size() int { return len(s.targets) }
 
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -226,10 +226,22 @@
 	}
 }
 
+// noteAnsweredDelegated notes that targets have answered the request, which another instance
+// has run.
+func (q *request) noteAnsweredDelegated(state fanout.State, missing int) {
+	if state != fanout.Complete && state != fanout.Partial {
+		return
+	}
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.g.noteAnswered(q.fingerprint, len(q.services)-missing, len(q.services))
+}
+
 // answerDelegated writes the answer of another instance that ran the request.
 func (q *request) answerDelegated(w http.ResponseWriter, runner *placing.Runner, a delegate.Answer) {
 	state := fanout.State(a.State)
 	q.g.observeDelegated(a)
+	q.noteAnsweredDelegated(state, a.Missing)
 	q.g.recordDelegated(q, runner, state, a.Missing)
 	q.endAdmission(state, a.LacksCapacity)
 	target := upstream.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,7 +21,6 @@
 	"knapweedstall/core/fanout"
 	"knapweedstall/core/liveness"
 	"knapweedstall/core/placing"
-	"knapweedstall/core/poison"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/source"
@@ -64,8 +63,7 @@
 	targets   *replica.Set
 	budget    *budget.Budget
 	estimates map[routing.RouteName]*fanout.LatencyEstimate
-	crashes   *poison.Tracker
-	reported  map[string]poison.Crash // crashes that this instance has written and that still count, by name of the object
+	crashes   *crashRecords
 	// becomingIsolated is closed when the instance becomes isolated, and replaced when
 	// it ceases to be.
 	becomingIsolated chan struct{}
@@ -122,8 +120,7 @@
 		draining:          make(chan struct{}),
 		peersChanged:      make(chan struct{}, 1),
 		random:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		crashes:           poison.NewTracker(),
-		reported:          map[string]poison.Crash{},
+		crashes:           newCrashRecords(),
 		becomingIsolated:  make(chan struct{}),
 		zoneCoverage:      map[routing.RouteName]map[topology.ZoneID]float64{},
 		coordinators:      coordinator.New(nil),
--- a/gateway/panics_test.go
+++ b/gateway/panics_test.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"knapweedstall/core/fanout"
+	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	"knapweedstall/io/delegate"
 	"knapweedstall/io/osclock"
@@ -64,7 +65,7 @@
 	g := newFaultyGateway()
 	q := g.openRequest(&g.table.Config.Routes[0], 1)
 	q.state = fanout.Open
-	q.send(fanout.Send{Shard: 5}, "t", "127.0.0.1:1") // there is no call, and no such shard
+	q.send(fanout.Send{Shard: 5}, replica.Listing{ID: "t", Address: "127.0.0.1:1"}) // there is no call, and no such shard
 	if q.state != fanout.Failure {
 		t.Errorf("state %q, want %q", q.state, fanout.Failure)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -82,6 +82,7 @@
 	// Guarded by the gateway's mu.
 	call           *fanout.Call
 	crashedTargets int               // targets that exited while they ran the request
+	answeredCount  int               // services of which a target has answered
 	next           clock.Time        // when Tick of call must be called next
 	answers        []upstream.Answer // answers of the services, in the order of services
 	failure        upstream.Answer   // latest failure that a target reported; Status is 0 for none
@@ -129,7 +130,8 @@
 		return
 	}
 	fingerprint := poison.NewFingerprint(workspaceID(owner), r.Method, r.Host, r.RequestURI, body)
-	if g.quarantined(fingerprint) {
+	refused, trial := g.quarantined(r.Context(), fingerprint)
+	if refused {
 		g.refuse(w, r, "the request crashes targets", retryMax)
 		return
 	}
@@ -141,15 +143,18 @@
 	q := g.newRequest(r, route, forwardedHeader(r, keys, owner), body, arrived)
 	q.fingerprint, q.version, q.workspace, q.admitted = fingerprint, table.Config.Version, owner, admitted
 	q.controlled = admitted != nil
+	if trial {
+		q.params.MaxAttempts = 1
+	}
 	credit.spend() // until it is known that no target has got the request
-	if q.delegate(w, r, table) {
+	if !trial && q.delegate(w, r, table) {
 		return
 	}
 	defer q.finish()
 	q.start(table)
 	q.wait(r.Context())
 	credit.keepIfUnsent(q)
-	if q.delegateInstead(w, r, table) {
+	if !trial && q.delegateInstead(w, r, table) {
 		credit.spend()
 	} else {
 		q.answer(w)
@@ -238,35 +243,43 @@
 // launch starts the sends. The gateway's mu must be held.
 func (q *request) launch(sends []fanout.Send) {
 	for _, s := range sends {
-		go q.send(s, s.Target.ID, s.Target.Address)
+		go q.send(s, s.Target.Listing)
 	}
 }
 
-// send sends the request to a target and reports the outcome to the call.
-func (q *request) send(s fanout.Send, id topology.TargetID, address string) {
+// send sends the request to a target, which has the listing, and reports the outcome to the
+// call.
+func (q *request) send(s fanout.Send, target replica.Listing) {
 	g := q.g
 	defer q.failOnPanic()
 	sent := g.clock.Now()
 	remaining := q.params.Deadline.Sub(sent)
-	res := g.pool.Send(q.ctx, &q.out, id, address, remaining)
+	res := g.pool.Send(q.ctx, &q.out, target.ID, target.Address, remaining)
 	g.metrics.send(res.Outcome)
 	if res.Outcome == replica.Answered {
 		g.overload.worked(q)
 	}
 	if res.Outcome == replica.Lost {
-		g.log.Info("no valid answer to a send", "id", q.out.ID, "service", s.Service, "target", id, "err", res.Err)
+		g.log.Info("no valid answer to a send", "id", q.out.ID, "service", s.Service, "target", target.ID, "err", res.Err)
 	}
 	if res.ConnectionBroken && q.ctx.Err() == nil {
-		go g.checkCrash(q, id, address)
+		go g.checkCrash(q, target)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if q.state == fanout.Open {
 		switch res.Outcome {
 		case replica.Answered:
+			if q.answers[s.Shard].Status == 0 {
+				q.answeredCount++
+			}
 			q.answers[s.Shard] = res.Answer
+			g.noteAnswered(q.fingerprint, q.answeredCount, len(q.services))
 		case replica.Failed:
 			q.failure = res.Answer
+			if q.hasRun(res.Answer) {
+				g.noteAnswered(q.fingerprint, 1, 1)
+			}
 		case replica.Shed, replica.Replaced, replica.Unsent, replica.Lost, replica.Canceled:
 		}
 	}
@@ -277,6 +290,12 @@
 	q.wakeIfDue(now)
 }
 
+// hasRun reports whether the failure shows that a target has run the request to its end. One
+// that has not read all of a body may reject it.
+func (q *request) hasRun(failure upstream.Answer) bool {
+	return !q.route.IsSearch() && len(q.out.Body) == 0 && failure.Status < http.StatusInternalServerError
+}
+
 // wakeIfDue updates the state and wakes wait if the state is final or the next step
 // is due earlier than before. The gateway's mu must be held.
 func (q *request) wakeIfDue(now clock.Time) {
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"knapweedstall/core/clock"
-	"knapweedstall/core/poison"
 	"knapweedstall/core/view"
 	"knapweedstall/platform"
 )
@@ -43,19 +42,19 @@
 	if kind != platform.KindCrashes {
 		return
 	}
-	for name, c := range g.reportedCrashes() {
+	for name, c := range g.writtenCrashes() {
 		if _, ok := first.Objects[name]; !ok {
-			g.writeCrash(c)
+			g.writeCrashRecord(c.record)
 		}
 	}
 }
 
-// reportedCrashes returns the crashes that this instance has written and that still
-// count, by the name of the object.
-func (g *Gateway) reportedCrashes() map[string]poison.Crash {
+// writtenCrashes returns the crashes that this instance has written and that still count,
+// by the name of the object.
+func (g *Gateway) writtenCrashes() map[string]writtenCrash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return maps.Clone(g.reported)
+	return maps.Clone(g.crashes.written)
 }
 
 // applyJoined applies the copy of a kind, joined with that of the earlier era during a
