Count each crash of a target that keeps its id

Cause: crashes were told apart by the target's id alone. They are told apart by the start of its process as well now.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -106,7 +106,7 @@
 	}
 	r := platform.CrashRecord{
 		Fingerprint: q.fingerprint, UnixMS: g.clock.UnixMillis(),
-		Process: poison.Process{Target: target.ID},
+		Process: poison.Process{Target: target.ID, StartedUnixMS: target.StartedUnixMS},
 	}
 	if !g.noteCrash(q, r) {
 		return
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -146,3 +146,23 @@
 		t.Errorf("the request ran %d times, want one trial", runs)
 	}
 }
+
+// TestCrashesOfOneTarget guards against a request that is never held back because the only
+// target of its service has the same id after each crash.
+func TestCrashesOfOneTarget(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	in := env.start(nil)
+	runs := 0
+	for range 4 {
+		env.startTarget("single1", "single") // replaces the one that has crashed
+		env.targets["single1"].SetCrashOnRequest(true)
+		time.Sleep(500 * time.Millisecond) // until the instance knows it
+		in.get(t, crashingRequest, http.Header{})
+		time.Sleep(300 * time.Millisecond) // until the crash is counted
+		runs += len(env.targets["single1"].Runs())
+	}
+	if runs != 2 {
+		t.Errorf("the request crashed the target %d times, want 2", runs)
+	}
+}
