Let the age of its copies decide when an instance asks the store

Cause: an instance that had lost its source asked the store after n*n*40 ms at its place n, or 10 to 12 s, and looked at the first eleven of its zone only. Ruled out: failed calls of their own, and a configuration that is known and not applied.

At an age of 0.4 to 0.65 of configDueMs, spread over the zone, each instance asks the store, whatever it follows. It watches if it is answered; others find it. One that could not ask by 0.9, as after a suspension, refuses requests until it has.

--- a/core/source/chooser.go
+++ b/core/source/chooser.go
@@ -117,13 +117,18 @@
 	self       placing.Instance
 	candidates []string // addresses of the instances that may be its source, first choice first
 	attempts   map[string]*attempt
+	zoneSize   int // number of instances of the zone, this one included
+	due        clock.Duration
 	lostAt     clock.Time // since when the instance has had no source
 	probeAt    clock.Time // it does not probe the store before
+	deniedAt   clock.Time // when the store last did not answer the instance; 0 for never
+	answeredAt clock.Time // when the instance last had its copies from the store by asking; 0 for never
 }
 
-// New returns the Chooser of the instance self, which knows no other instance.
-func New(self placing.Instance) *Chooser {
-	return &Chooser{self: self, attempts: map[string]*attempt{}}
+// New returns the Chooser of the instance self, which knows no other instance. Changes are
+// due at all instances within the time due.
+func New(self placing.Instance, due clock.Duration) *Chooser {
+	return &Chooser{self: self, due: due, attempts: map[string]*attempt{}}
 }
 
 // Start begins the search for the first source at now, when the instances are known.
@@ -133,6 +138,12 @@
 // SetInstances replaces the known instances.
 func (c *Chooser) SetInstances(instances []placing.Instance) {
 	c.candidates = candidates(c.self, instances)
+	c.zoneSize = 0
+	for _, in := range instances {
+		if in.Zone == c.self.Zone {
+			c.zoneSize++
+		}
+	}
 	for address := range c.attempts {
 		if !slices.Contains(c.candidates, address) {
 			delete(c.attempts, address)
@@ -144,24 +155,31 @@
 // all copies from the store when they start, since the others take theirs from them.
 func (c *Chooser) IsReader() bool { return len(c.candidates) < readers }
 
-// Next returns the next step of an instance that has no source at now. complete
-// reports whether the instance has copies of all kinds.
-func (c *Chooser) Next(complete bool, now clock.Time) Step {
+// Next returns the next step of an instance that has no source at now. complete reports
+// whether the instance has copies of all kinds, and age is their age.
+func (c *Chooser) Next(age clock.Duration, complete bool, now clock.Time) Step {
 	if len(c.candidates) == 0 {
 		return Step{Action: Watch}
 	}
 	waited := now.Sub(c.lostAt)
 	address, reached := c.candidate(min(readers+turns(waited-turnLag), maxLooks), now)
+	if complete {
+		address, reached = c.candidateAmong(c.asked(age-turnLag), now)
+	}
 	if reached >= readers {
 		switch {
+		case address != "" && (complete || !c.isTurn(waited) || now.Before(c.probeAt)):
+			return Step{Action: Follow, Address: address}
+		case complete && c.answers(now):
+			return Step{Action: Watch}
+		case complete:
+			return Step{Action: Wait, Wait: pollPeriod}
 		case c.isTurn(waited) && !now.Before(c.probeAt):
 			if reader := c.unseenReader(now); reader != "" {
 				return Step{Action: Follow, Address: reader}
 			}
 			return Step{Action: Probe}
-		case address != "":
-			return Step{Action: Follow, Address: address}
-		case complete || waited < maxLoadTime:
+		case waited < maxLoadTime:
 			return Step{Action: Wait, Wait: pollPeriod}
 		default:
 			return Step{Action: Watch}
@@ -266,6 +284,29 @@
 	return address, reached
 }
 
+// candidateAmong is candidate for an instance with copies: it looks at the readers that can
+// be reached, and then at the candidates before the place asked, the last of them first.
+// These have asked the store, and the last ones the most recently.
+func (c *Chooser) candidateAmong(asked int, now clock.Time) (address string, reached int) {
+	look := func(candidate string) {
+		a := c.attempts[candidate]
+		if address == "" && (a == nil || !now.Before(a.retryAt)) {
+			address = candidate
+		}
+		if a != nil && a.outcome.reached() {
+			reached++
+		}
+	}
+	next := 0
+	for ; next < len(c.candidates) && reached < readers; next++ {
+		look(c.candidates[next])
+	}
+	for i := min(asked, len(c.candidates)) - 1; i >= next && reached < maxLooks; i-- {
+		look(c.candidates[i])
+	}
+	return address, reached
+}
+
 // Ended reports that following the candidate at address ended at now.
 func (c *Chooser) Ended(address string, o Outcome, now clock.Time) {
 	a := c.attempts[address]
--- a/gateway/delegated.go
+++ b/gateway/delegated.go
@@ -22,7 +22,7 @@
 	if isolated {
 		return delegate.Answer{Declined: true, Isolated: true}
 	}
-	if full || g.stopping() || table == nil || int64(table.Config.Version) != r.Version {
+	if full || g.stopping() || table == nil || !g.mayAct() || int64(table.Config.Version) != r.Version {
 		// The request must run with the configuration that is active at the
 		// delegating instance, neither an earlier nor a later one.
 		return delegate.Answer{Declined: true}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -72,6 +72,7 @@
 			g.metrics.sourcesLost.Inc(1)
 			g.log.Warn("store does not answer", "sinceMs", int64(g.clock.Now().Sub(answeredAt)), "err", err)
 			g.views.markLost(answeredAt)
+			g.markDenied()
 			return
 		}
 	}
@@ -127,7 +128,7 @@
 			}
 			if g.clock.Now().Sub(failedAt) >= unavailableAfter {
 				g.views.setWatched(kind, false)
-				g.views.markAway()
+				g.markDenied()
 				wait = noWait
 				g.syncFromPeer(ctx)
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -54,6 +55,8 @@
 	syncing      atomic.Bool               // startSync is getting copies from another instance
 	draining     chan struct{}             // closed when requests in progress must end
 	peersChanged chan struct{}             // signals that peers has changed; holds one signal
+	askSoon      chan struct{}             // signals askStore; holds one signal
+	actUntil     atomic.Int64              // clock.Time until which the instance may act on its copies
 
 	// mu guards the fields below up to rollouts.
 	mu        sync.Mutex
@@ -119,6 +122,7 @@
 		pool:              upstream.NewPool(c),
 		draining:          make(chan struct{}),
 		peersChanged:      make(chan struct{}, 1),
+		askSoon:           make(chan struct{}, 1),
 		random:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		crashes:           newCrashRecords(),
 		becomingIsolated:  make(chan struct{}),
@@ -139,6 +143,7 @@
 		unauthorizedLines: &lineLimit{period: unauthorizedLogPeriod},
 		acceptLines:       &lineLimit{period: acceptLogPeriod},
 	}
+	g.actUntil.Store(math.MaxInt64) // there are no copies yet
 	g.views = newViews(c, optionalKinds(s), g.apply, g.rewriteLost)
 	g.delegated = delegate.NewServer(g.runDelegated)
 	g.overload = newOverloadControl(g)
@@ -150,7 +155,7 @@
 		g.handle(leaseWriteTopic, g.handleLeaseWrite)
 	}
 	g.self = placing.Instance{ID: s.Instance, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.Capacity}
-	g.chooser = source.New(g.self)
+	g.chooser = source.New(g.self, s.Store.ConfigDueMS)
 	g.placing = placing.NewSet(g.self, g.random)
 	for _, o := range opts {
 		o(g)
@@ -195,6 +200,7 @@
 	defer stop()
 	g.log.Info("started", "zone", g.settings.Zone, "callers", g.settings.Listen.Callers)
 	go g.syncCopies(background)
+	go g.askStore(background)
 	go g.sweep(background)
 	go g.overload.run(background)
 	go g.runRollouts(background)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -102,6 +102,10 @@
 		g.refuse(w, r, "no configuration", g.retryNotReady(arrived))
 		return
 	}
+	if !g.mayAct() {
+		g.refuse(w, r, "the configuration may be out of date", retryOverload)
+		return
+	}
 	route := table.Match(r.Host, r.URL.EscapedPath())
 	if route == nil {
 		g.serveNoRoute(w, r)
--- a/gateway/sources.go
+++ b/gateway/sources.go
@@ -59,10 +59,10 @@
 }
 
 func (g *Gateway) nextStep() source.Step {
-	complete := g.views.complete()
+	age, complete := g.views.age(), g.views.complete()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.chooser.Next(complete, g.clock.Now())
+	return g.chooser.Next(age, complete, g.clock.Now())
 }
 
 // followNextCandidate follows the next candidate that may be tried, if there is one,
--- a/gateway/storereading.go
+++ b/gateway/storereading.go
@@ -91,7 +91,7 @@
 			return ctx.Err() == nil
 		}
 		g.log.Debug("store does not answer", "err", err)
-		g.views.markAway()
+		g.markDenied()
 		search.begin()
 		pause, goOn := g.pollPause(ctx)
 		if !goOn {
--- a/gateway/views.go
+++ b/gateway/views.go
@@ -224,6 +224,23 @@
 	}
 }
 
+// refresh notes that the store has answered that the copy of a kind was up to date at a
+// time.
+func (v *views) refresh(name string, at clock.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.refreshed(name, at)
+}
+
+// answered notes that the store answers and that copies of all kinds are from it, and tells
+// the followers.
+func (v *views) answered() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.storeAway = false
+	v.notify()
+}
+
 // noCopyAge is the age of a missing copy.
 const noCopyAge = clock.Hour
 
