Take no status outside 200 to 599 for an answer

Callers got bytes from within the body of an answer with status 000 as a success, or waited for an answer until their time was up; 600, 799 and 999 reached them. The store's 000, 099 and 101 counted as the success of a write or a list, and a delegated answer with status 0 ended its handler with a panic.

Cause: http.ReadResponse accepts any three digits, and each reader of a status told apart only those below 200, below 300 and the others.

Such a status is no answer, and its connection is closed: targets, the store, the platform and targets of serve, delegated answers. Interim answers with a body are none either, and no client follows a redirection.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -72,8 +72,12 @@
 // callers take as proof that the request did not run is not forwarded, because the
 // target did not state that.
 func (q *request) answerFailure(w http.ResponseWriter) {
+	if !platform.ValidStatus(q.failure.Status) { // there is none, or an older build has passed on no answer
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
 	switch q.failure.Status {
-	case 0, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		w.WriteHeader(http.StatusBadGateway)
 	default:
 		if q.route.IsSearch() {
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -13,6 +13,7 @@
 	"knapweedstall/core/topology"
 	"knapweedstall/io/delegate"
 	"knapweedstall/io/upstream"
+	"knapweedstall/platform"
 )
 
 // minRerunTime is the minimum remaining time for running a request again.
@@ -247,10 +248,13 @@
 	target := upstream.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
 	switch state {
 	case fanout.Complete, fanout.Partial:
-		if q.route.IsSearch() {
+		switch {
+		case q.route.IsSearch():
 			writeSearch(w, a.Body, a.Digests, a.Missing)
-		} else {
+		case platform.ValidStatus(a.Status) && a.Status < http.StatusMultipleChoices:
 			forwardAnswer(w, target)
+		default: // an older build takes any status of a target for an answer
+			w.WriteHeader(http.StatusBadGateway)
 		}
 	case fanout.TimedOut:
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -81,7 +81,7 @@
 
 // NewClient returns a client for the platform at address (host:port).
 func NewClient(address string, opts ...Option) *Client {
-	c := &Client{base: "http://" + address, http: &http.Client{}, timeout: time.Second}
+	c := &Client{base: "http://" + address, http: &http.Client{CheckRedirect: noRedirect}, timeout: time.Second}
 	for _, o := range opts {
 		o(c)
 	}
@@ -169,6 +169,15 @@
 	return c.call(ctx, c.timeout, request{method: http.MethodDelete, path: "/v1/instances/" + string(id)}, nil)
 }
 
+// Bounds of a reply.
+const (
+	maxStatus     = 599
+	maxReplyBytes = 16 << 20 // of the body; the largest is the list of all objects
+)
+
+// noRedirect keeps a client from turning to another address.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 type request struct {
 	method, path, key string
 	header            http.Header
@@ -191,7 +200,12 @@
 		return &UnavailableError{Cause: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		// No answer: the connection ends. Without a body, it may count as idle already.
+		defer c.http.CloseIdleConnections()
+		return &UnavailableError{Status: resp.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
 		return &UnavailableError{Cause: err}
 	}
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -20,6 +20,7 @@
 )
 
 const (
+	maxStatus       = 599
 	maxAnswerBytes  = 8 << 20
 	idleConnTimeout = 30 * time.Second
 	cancelTimeout   = 200 * time.Millisecond
@@ -108,12 +109,15 @@
 	defer c.mu.Unlock()
 	h := c.clients[address]
 	if h == nil {
-		h = &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost:     c.maxConns,
-			MaxIdleConnsPerHost: c.maxConns,
-			IdleConnTimeout:     idleConnTimeout,
-			DialContext:         c.dialer(c.dialTimeout),
-		}}
+		h = &http.Client{
+			Transport: &http.Transport{
+				MaxConnsPerHost:     c.maxConns,
+				MaxIdleConnsPerHost: c.maxConns,
+				IdleConnTimeout:     idleConnTimeout,
+				DialContext:         c.dialer(c.dialTimeout),
+			},
+			CheckRedirect: noRedirect,
+		}
 		c.clients[address] = h
 	}
 	return h
@@ -148,6 +152,9 @@
 	}
 }
 
+// noRedirect keeps a call from being sent to another address.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // countedConn calls closed when it is closed. The transport closes a connection as soon
 // as it notices that the target closed it.
 type countedConn struct {
@@ -187,6 +194,11 @@
 		return Answer{}, newLostError(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }() // also closes the connection if the body has not been read
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		// No answer: the connection ends. Without a body, it may count as idle already.
+		defer client.CloseIdleConnections()
+		return Answer{}, errors.WithStack(&ProtocolError{Status: resp.StatusCode})
+	}
 	if id := resp.Header.Get(HeaderCall); id != "" && id != call.ID {
 		return Answer{}, newLostError(ctx, &MismatchedAnswerError{ID: id})
 	}
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -136,13 +136,16 @@
 		if err != nil {
 			return lostAnswer(err), false
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInterim(resp) {
 			if interim++; interim > maxInterim {
 				return lostAnswer(&TooLargeError{Limit: maxInterim}), false
 			}
 			skipped-- // an interim answer does not count
 			continue
 		}
+		if err := platform.CheckStatus(resp); err != nil {
+			return Result{Outcome: replica.Lost, Err: err}, false
+		}
 		reply := platform.ParseReply(resp.StatusCode, resp.Header)
 		c.limit.left = maxAnswerBytes + maxHeadBytes
 		body, err := p.large.readBody(resp)
@@ -170,6 +173,18 @@
 	}
 }
 
+// isInterim reports whether an answer is interim, that is, the final one follows. One that
+// states a body is not: where the next answer begins is not known.
+func isInterim(resp *http.Response) bool {
+	switch {
+	case resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols:
+		return false
+	case resp.Header.Get("Content-Length") != "" || len(resp.TransferEncoding) > 0:
+		return false
+	}
+	return resp.ProtoMajor == 1
+}
+
 // statement returns what an answer says about its target.
 func statement(resp *http.Response) replica.Statement {
 	seconds, stated := platform.RetryAfter(resp.StatusCode, resp.Header)
--- a/io/upstream/send_test.go
+++ b/io/upstream/send_test.go
@@ -149,6 +149,48 @@
 	}
 }
 
+// TestNoStatus guards against bytes that are taken for an answer although their status is
+// that of none: callers got bytes from within their body as a success, or waited for an
+// answer that does not come. The connection must end, and the next request get its answer.
+func TestNoStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "799", "999"} {
+		for name, body := range map[string]string{
+			"no body":           "\r\n",
+			"body":              "Content-Length: 4\r\n\r\nxxxx",
+			"answer within":     "Content-Length: 400\r\n\r\n" + answer("1", "no"),
+			"chunked, answered": "Transfer-Encoding: chunked\r\n\r\n" + answer("1", "no"),
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				head := "HTTP/1.1 " + status + " Odd\r\n" + platformtest.HeaderRequestID + ": 1\r\n" + platformtest.HeaderDigest + ": st-1\r\n"
+				s := newScriptedTarget(t, answerEach(head+body, answer("2", "no")), answerEach(answer("2", "yes")))
+				p := upstream.NewPool(osclock.New())
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				if diff := cmp.Diff(sendResult{Outcome: replica.Lost}, send(ctx, p, s, request("1"))); diff != "" {
+					t.Errorf("result (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(sendResult{replica.Answered, "yes", "st-2"}, send(ctx, p, s, request("2"))); diff != "" {
+					t.Errorf("next request (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// TestInterimAnswerWithBody guards against the body of an interim answer, which has none,
+// that is taken for the answer.
+func TestInterimAnswerWithBody(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 400", "Transfer-Encoding: chunked"} {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		s := newScriptedTarget(t, answerEach("HTTP/1.1 103 Early Hints\r\n"+framing+"\r\n\r\n"+answer("1", "no")))
+		if diff := cmp.Diff(sendResult{Outcome: replica.Lost}, send(ctx, upstream.NewPool(osclock.New()), s, request("1"))); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", framing, diff)
+		}
+	}
+}
+
 // TestReuse guards against reusing a connection that may carry bytes of another answer
 // or that the target is closing, and against opening a connection for each request.
 func TestReuse(t *testing.T) {
