Bound the memory for answers of the store and for handshakes

A store that sends bytes without end takes the memory of an instance, and with it the requests in progress: the heap grows by 229 to 373 MB in 16 calls at once, in a test on the build before, where a small machine has 136 MB.

Cause: each call could read 10 MB of headers and 16 MB of body, whatever the others were reading; io.ReadAll holds up to twice as much.

io/body, which takes over the bounds for targets, bounds what all calls read together; headers have 64 KB.

--- a/io/delegate/client.go
+++ b/io/delegate/client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"knapweedstall/core/clock"
+	"knapweedstall/io/handshake"
 )
 
 // Timeouts of a link.
@@ -111,14 +112,13 @@
 func (c *Client) openLink(l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Std())
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+l.address+Path, nil) //nolint:bodyclose // Dial closes it
+	conn, _, err := handshake.Dial(ctx, l.address, Path, maxFrameBytes)
 	if err != nil {
 		l.dialErr = err
 		close(l.ready)
 		c.removeLink(l)
 		return
 	}
-	conn.SetReadLimit(maxFrameBytes)
 	l.conn = conn
 	close(l.ready)
 	c.readAnswers(l)
--- a/io/exchange/client.go
+++ b/io/exchange/client.go
@@ -10,6 +10,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
+	"knapweedstall/io/handshake"
 )
 
 // dialTimeout bounds opening a link. An instance that is up answers within a few round
@@ -109,17 +110,16 @@
 func (c *Client) open(l *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout.Std())
 	defer cancel()
-	conn, resp, err := websocket.Dial(ctx, "ws://"+l.address+Path, nil) //nolint:bodyclose // Dial closes it
+	conn, status, err := handshake.Dial(ctx, l.address, Path, maxFrameBytes)
 	if err != nil {
 		l.dialErr = errors.WithStack(&UnavailableError{Address: l.address, NotSent: true, Cause: err})
-		if resp != nil && resp.StatusCode == http.StatusNotFound {
+		if status == http.StatusNotFound {
 			l.dialErr = errors.WithStack(&UnsupportedError{Address: l.address, Topic: Path})
 		}
 		c.remove(l)
 		close(l.ready)
 		return
 	}
-	conn.SetReadLimit(maxFrameBytes)
 	l.conn = conn
 	close(l.ready)
 	defer c.close(l)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/view"
+	"knapweedstall/io/handshake"
 )
 
 // Path is the URL path on which an instance serves followers.
@@ -164,11 +165,10 @@
 func dial(ctx context.Context, address string, have map[string]view.Revision) (*websocket.Conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout.Std())
 	defer cancel()
-	c, _, err := websocket.Dial(dialCtx, "ws://"+address+Path, nil) //nolint:bodyclose // Dial closes it
+	c, _, err := handshake.Dial(dialCtx, address, Path, maxFrameBytes)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
-	c.SetReadLimit(maxFrameBytes)
 	data, err := cbor.Marshal(hello{Have: have})
 	if err == nil {
 		err = c.Write(dialCtx, websocket.MessageBinary, data)
--- a/io/upstream/errors.go
+++ b/io/upstream/errors.go
@@ -9,13 +9,13 @@
 // Error implements error.
 func (e *MismatchedAnswerError) Error() string { return "answer to another request: " + e.ID }
 
-// TooLargeError reports that an answer, its headers, or the answers that are being read
-// at the same time are larger than Limit bytes, or that there are more than Limit
-// interim answers.
-type TooLargeError struct{ Limit int }
+// InterimAnswersError reports more than Limit interim answers before an answer.
+type InterimAnswersError struct{ Limit int }
 
 // Error implements error.
-func (e *TooLargeError) Error() string { return fmt.Sprintf("answer exceeds the limit of %d", e.Limit) }
+func (e *InterimAnswersError) Error() string {
+	return fmt.Sprintf("more than %d interim answers", e.Limit)
+}
 
 // InvalidAnswerError reports why a complete answer can't be used.
 type InvalidAnswerError struct{ Detail string }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -14,6 +14,7 @@
 
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
+	"knapweedstall/io/body"
 )
 
 // Limits of connections.
@@ -76,7 +77,7 @@
 type Pool struct {
 	clock       clock.Clock
 	dialContext DialFunc
-	large       reservation // of the bodies that are being read
+	bodies      *body.Reader
 
 	mu       sync.Mutex
 	idle     map[topology.TargetID][]*conn // most recently used last
@@ -98,7 +99,7 @@
 // NewPool returns an empty Pool.
 func NewPool(c clock.Clock, opts ...Option) *Pool {
 	dialer := net.Dialer{KeepAliveConfig: targetKeepAlive}
-	p := &Pool{clock: c, dialContext: dialer.DialContext, idle: map[topology.TargetID][]*conn{}}
+	p := &Pool{clock: c, dialContext: dialer.DialContext, bodies: body.NewReader(bodyLimits), idle: map[topology.TargetID][]*conn{}}
 	for _, o := range opts {
 		o(p)
 	}
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -12,6 +12,7 @@
 	"knapweedstall/core/clock"
 	"knapweedstall/core/replica"
 	"knapweedstall/core/topology"
+	"knapweedstall/io/body"
 	"knapweedstall/platform"
 )
 
@@ -132,13 +133,13 @@
 	request := &http.Request{Method: r.Method}
 	for skipped, interim := 0, 0; ; skipped++ {
 		c.limit.left = maxHeadBytes
-		resp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // it holds nothing but the connection, see readBody
+		resp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // it holds nothing but the connection
 		if err != nil {
 			return lostAnswer(err), false
 		}
 		if isInterim(resp) {
 			if interim++; interim > maxInterim {
-				return lostAnswer(&TooLargeError{Limit: maxInterim}), false
+				return Result{Outcome: replica.Lost, Err: &InterimAnswersError{Limit: maxInterim}}, false
 			}
 			skipped-- // an interim answer does not count
 			continue
@@ -148,7 +149,7 @@
 		}
 		reply := platform.ParseReply(resp.StatusCode, resp.Header)
 		c.limit.left = maxAnswerBytes + maxHeadBytes
-		body, err := p.large.readBody(resp)
+		data, err := p.bodies.ReadAll(resp.Body, resp.ContentLength) // not closed: that would read on to the end of one that was given up
 		if err != nil {
 			return lostAnswer(err), false
 		}
@@ -164,7 +165,7 @@
 		}
 		// A late copy of an answer without an id would be taken for the next answer.
 		reusable = skipped == 0 && reply.RequestID != "" && !resp.Close && c.reader.Buffered() == 0
-		res = classify(resp, reply, body)
+		res = classify(resp, reply, data)
 		res.Answer.Target = c.target
 		if !reply.Replaced { // else another target has answered
 			res.Stated = statement(resp)
@@ -198,12 +199,12 @@
 // lostAnswer returns the result of a send whose answer could not be read. The target may
 // have crashed, unless it has sent too much.
 func lostAnswer(err error) Result {
-	var tooLarge *TooLargeError
+	var tooLarge *body.TooLargeError
 	return Result{Outcome: replica.Lost, Err: err, ConnectionBroken: !errors.As(err, &tooLarge)}
 }
 
-func classify(resp *http.Response, reply platform.Reply, body []byte) Result {
-	answer := Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Digest: reply.Digest}
+func classify(resp *http.Response, reply platform.Reply, data []byte) Result {
+	answer := Answer{Status: resp.StatusCode, Header: resp.Header, Body: data, Digest: reply.Digest}
 	success := resp.StatusCode < http.StatusMultipleChoices
 	switch {
 	case reply.Replaced:
