Bound the memory for the bodies of callers' requests

Bodies of callers were counted by nothing while they were read: 1,024 requests in progress, and any number whose bodies are still arriving, may hold 256 KB each, more than a machine with 136 MB has.

Bodies count towards 24 MB until their requests have ended. Beyond that a request is refused with Retry-After and its connection is closed, so that the rest of the body is not read. The handler is split where the body is read.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"knapweedstall/core/topology"
 	"knapweedstall/core/workspace"
 	"knapweedstall/io/accept"
+	"knapweedstall/io/body"
 	"knapweedstall/io/delegate"
 	"knapweedstall/io/exchange"
 	"knapweedstall/io/ingress"
@@ -50,6 +51,7 @@
 	log          *log.Logger
 	store        *platform.Store
 	pool         *upstream.Pool
+	bodies       *body.Reader // reads the bodies of callers' requests
 	callers      *ingress.Server
 	stop         atomic.Pointer[stopTimes] // nil until the instance stops
 	syncing      atomic.Bool               // startSync is getting copies from another instance
@@ -120,6 +122,7 @@
 		settings: s, clock: c, created: c.Now(), log: logger,
 		store:             platform.NewStore(s.Store.Address),
 		pool:              upstream.NewPool(c),
+		bodies:            body.NewReader(callerBodyLimits),
 		draining:          make(chan struct{}),
 		peersChanged:      make(chan struct{}, 1),
 		askSoon:           make(chan struct{}, 1),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +16,8 @@
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	"knapweedstall/core/topology"
+	"knapweedstall/core/workspace"
+	"knapweedstall/io/body"
 	"knapweedstall/io/upstream"
 	"knapweedstall/platform"
 )
@@ -89,6 +91,17 @@
 	state          fanout.State
 }
 
+// callerRequest is a request of a caller that may be run.
+type callerRequest struct {
+	arrived  clock.Time
+	table    *routing.Table
+	keys     *workspace.Directory
+	route    *routing.Route
+	owner    *routing.Workspace // nil for none
+	credit   *heldCredit
+	admitted *admission // nil if there is no admission control
+}
+
 // serveCaller handles one request of a caller.
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	arrived := g.clock.Now()
@@ -129,37 +142,43 @@
 		return
 	}
 	defer admitted.end(overload.Other) // has no effect if the request got an answer
-	body, ok := g.readBody(w, r, table.Config.Limits.BodyBytes)
-	if !ok || !credit.renew(w, r) {
+	g.runForCaller(w, r, &callerRequest{arrived, table, keys, route, owner, credit, admitted})
+}
+
+// runForCaller reads the body of a request, runs the request and answers it.
+func (g *Gateway) runForCaller(w http.ResponseWriter, r *http.Request, c *callerRequest) {
+	data, release, ok := g.readBody(w, r, c.table.Config.Limits.BodyBytes)
+	defer release()
+	if !ok || !c.credit.renew(w, r) {
 		return
 	}
-	fingerprint := poison.NewFingerprint(workspaceID(owner), r.Method, r.Host, r.RequestURI, body)
+	fingerprint := poison.NewFingerprint(workspaceID(c.owner), r.Method, r.Host, r.RequestURI, data)
 	refused, trial := g.quarantined(r.Context(), fingerprint)
 	if refused {
 		g.refuse(w, r, "the request crashes targets", retryMax)
 		return
 	}
-	if g.comesTooLate(route, g.clock.Now()) {
+	if g.comesTooLate(c.route, g.clock.Now()) {
 		w.Header().Set("Connection", "close")
 		g.refuse(w, r, "the instance stops", retryMin)
 		return
 	}
-	q := g.newRequest(r, route, forwardedHeader(r, keys, owner), body, arrived)
-	q.fingerprint, q.version, q.workspace, q.admitted = fingerprint, table.Config.Version, owner, admitted
-	q.controlled = admitted != nil
+	q := g.newRequest(r, c.route, forwardedHeader(r, c.keys, c.owner), data, c.arrived)
+	q.fingerprint, q.version, q.workspace, q.admitted = fingerprint, c.table.Config.Version, c.owner, c.admitted
+	q.controlled = c.admitted != nil
 	if trial {
 		q.params.MaxAttempts = 1
 	}
-	credit.spend() // until it is known that no target has got the request
-	if !trial && q.delegate(w, r, table) {
+	c.credit.spend() // until it is known that no target has got the request
+	if !trial && q.delegate(w, r, c.table) {
 		return
 	}
 	defer q.finish()
-	q.start(table)
+	q.start(c.table)
 	q.wait(r.Context())
-	credit.keepIfUnsent(q)
-	if !trial && q.delegateInstead(w, r, table) {
-		credit.spend()
+	c.credit.keepIfUnsent(q)
+	if !trial && q.delegateInstead(w, r, c.table) {
+		c.credit.spend()
 	} else {
 		q.answer(w)
 	}
@@ -174,25 +193,33 @@
 	w.WriteHeader(http.StatusNotFound)
 }
 
-// readBody reads the whole body. If that fails, it answers the request and returns
-// false.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+// callerBodyLimits bound the bodies of callers' requests in progress. The configuration
+// bounds each of them.
+var callerBodyLimits = body.Limits{Most: math.MaxInt32, Small: 16 << 10, Total: 24 << 20}
+
+// readBody reads the whole body. If that fails, it answers the request and returns false.
+// release must be called when the body is no longer used.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) (data []byte, release func(), ok bool) {
 	if r.ContentLength == 0 {
-		return nil, true
+		return nil, func() {}, true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	data, release, err := g.bodies.ReadHeld(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit))
 	var tooLarge *http.MaxBytesError
+	var tooMany *body.TooLargeError
 	switch {
+	case err == nil:
+		return data, release, true
+	case errors.As(err, &tooMany):
+		w.Header().Set("Connection", "close")
+		g.refuse(w, r, "too many bytes in progress", retryOverload)
 	case errors.As(err, &tooLarge):
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return nil, false
-	case err != nil: // the caller disconnected, or the body is malformed
+	default: // the caller disconnected, or the body is malformed
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusBadRequest)
-		return nil, false
 	}
-	return body, true
+	return nil, release, false
 }
 
 // newRequest returns the request for a caller's HTTP request. header has what targets get.
