--- a/core/replica/statement.go
+++ b/core/replica/statement.go
@@ -11,8 +11,8 @@
 // Parameters of what targets state in their answers.
 const (
 	// maxPause bounds the time for which a target may ask for no requests. A target
-	// that needs longer is about to be replaced.
-	maxPause = clock.Minute
+	// that needs longer is about to be replaced, and one that misstates it must come back.
+	maxPause = 10 * clock.Minute
 	// pauseSpread is the part of a pause by which it is prolonged at most, at random,
 	// so that the requests of many instances don't return at the same moment.
 	pauseSpread    = 0.25
