Answer unknown keys and routes by the age of the configuration alone

A request with an unknown key or route got 503 although the configuration was up to date, while the copies of other kinds were not: some milliseconds after a cut from the store, and as long as a call for another kind fails. TestUnknownRouteByConfigurationAge fails before (503 for 404 and for 401).

--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -23,7 +23,7 @@
 	switch {
 	case owner != nil || route.Public:
 		return owner, true
-	case key != "" && g.views.age() > staleConfigAge:
+	case key != "" && g.views.ageOf(platform.KindConfig) > staleConfigAge:
 		g.refuse(w, r, "unknown key, and the configuration may be out of date", retryOverload)
 	default:
 		g.recordUnauthorized(r, route, key != "")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -186,7 +186,7 @@
 
 // serveNoRoute answers a request that matches no route.
 func (g *Gateway) serveNoRoute(w http.ResponseWriter, r *http.Request) {
-	if g.views.age() > staleConfigAge {
+	if g.views.ageOf(platform.KindConfig) > staleConfigAge {
 		g.refuse(w, r, "unknown route, and the configuration may be out of date", retryOverload)
 		return
 	}
