Remove records of crashes that no longer count from the store

One instance on average removes up to 32 such records a minute, those that it has known for ten minutes, since their ages come from the clocks of others.

--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -57,7 +57,7 @@
 // Add notes a crash of the given age. revision is that of its record in the store; 0 if
 // there is none yet.
 func (t *Tracker) Add(c Crash, revision view.Revision, age clock.Duration, now clock.Time) {
-	s, at := t.suspect(c.Fingerprint), now.Add(-age)
+	s, at := t.suspect(c.Fingerprint, now), now.Add(-age)
 	known := s.crashes[c.Process]
 	if known == nil {
 		s.crashes[c.Process] = &crash{revision: revision, at: at}
@@ -75,23 +75,23 @@
 
 // SetAnswered notes that the store has the record, of the revision, that a target has
 // answered the request. It disproves all crashes whose records have lower revisions.
-func (t *Tracker) SetAnswered(f Fingerprint, revision view.Revision) {
-	s := t.suspect(f)
+func (t *Tracker) SetAnswered(f Fingerprint, revision view.Revision, now clock.Time) {
+	s := t.suspect(f, now)
 	s.answered = max(s.answered, revision)
 }
 
 // SetTrial notes a trial that began before the given time.
 func (t *Tracker) SetTrial(f Fingerprint, trial Trial, age clock.Duration, now clock.Time) {
-	s := t.suspect(f)
+	s := t.suspect(f, now)
 	if trial.Revision > s.trial.Revision {
 		s.trial, s.trialAt = trial, now.Add(-age)
 	}
 }
 
-func (t *Tracker) suspect(f Fingerprint) *suspect {
+func (t *Tracker) suspect(f Fingerprint, now clock.Time) *suspect {
 	s := t.suspects[f]
 	if s == nil {
-		s = &suspect{crashes: map[Process]*crash{}}
+		s = &suspect{crashes: map[Process]*crash{}, firstSeen: now}
 		t.suspects[f] = s
 	}
 	return s
@@ -173,12 +173,20 @@
 	}
 }
 
+// Removable reports whether the records of the request in the store are of no use. It does
+// not depend on their ages alone, which come from the clocks of other instances.
+func (t *Tracker) Removable(f Fingerprint, now clock.Time) bool {
+	s := t.suspects[f]
+	return s != nil && s.expired(now) && now.Sub(s.firstSeen) >= Retention
+}
+
 // suspect is a request that targets were running when they crashed.
 type suspect struct {
-	crashes  map[Process]*crash
-	answered view.Revision // of the record that a target has answered it; 0 for none
-	trial    Trial
-	trialAt  clock.Time // when the trial began
+	firstSeen clock.Time // when this instance first knew of it
+	crashes   map[Process]*crash
+	answered  view.Revision // of the record that a target has answered it; 0 for none
+	trial     Trial
+	trialAt   clock.Time // when the trial began
 }
 
 // crash is the crash of one process that was running a request.
--- a/core/poison/tracker_test.go
+++ b/core/poison/tracker_test.go
@@ -100,7 +100,7 @@
 }
 
 // answered adds the record of an answer.
-func (w *world) answered(f poison.Fingerprint) { w.SetAnswered(f, w.next()) }
+func (w *world) answered(f poison.Fingerprint) { w.SetAnswered(f, w.next(), w.now) }
 
 // TestTrials guards against a request that is refused for good after coincidences, and
 // against one that does crash targets and reaches them more than three times in the hour
@@ -170,3 +170,28 @@
 		}
 	}
 }
+
+// TestRemovable guards against records that stay in the store for good, and against the
+// removal of those that count, also when the clock of their writer was far behind.
+func TestRemovable(t *testing.T) {
+	for name, c := range map[string]struct {
+		age, known clock.Duration
+		want       bool
+	}{
+		"new":                   {0, 0, false},
+		"counts":                {0, 9 * clock.Minute, false},
+		"no longer counts":      {0, 11 * clock.Minute, true},
+		"writer's clock behind": {clock.Hour, clock.Minute, false},
+		"old, known for long":   {clock.Hour, 11 * clock.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			w.Add(crash("f", "a", 1), w.next(), c.age, w.now)
+			w.wait(c.known)
+			w.Expire(map[poison.Fingerprint]bool{"f": true}, w.now)
+			if diff := cmp.Diff(c.want, w.Removable("f", w.now)); diff != "" {
+				t.Errorf("removable (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -34,6 +34,12 @@
 	trialRetryDelay = clock.Second
 )
 
+// Removal of records that are of no use from the store.
+const (
+	removalPeriod = clock.Minute
+	maxRemovals   = 32 // in each period
+)
+
 // crashRecords is what an instance does about requests that crash targets. The gateway's
 // mu guards it.
 type crashRecords struct {
@@ -229,7 +235,7 @@
 		case platform.CrashRecorded:
 			tracker.Add(poison.Crash{Fingerprint: r.Fingerprint, Process: r.Process}, o.Revision, age, now)
 		case platform.AnswerRecorded:
-			tracker.SetAnswered(r.Fingerprint, o.Revision)
+			tracker.SetAnswered(r.Fingerprint, o.Revision, now)
 		case platform.TrialRecorded:
 			tracker.SetTrial(r.Fingerprint, poison.Trial{Number: r.Trial, Revision: o.Revision}, age, now)
 		}
@@ -238,3 +244,47 @@
 	maps.DeleteFunc(g.crashes.written, func(_ string, w writtenCrash) bool { return now.Sub(w.at) >= poison.Retention })
 	maps.DeleteFunc(g.crashes.trialsAt, func(_ poison.Fingerprint, at clock.Time) bool { return at.Before(now) })
 }
+
+// removeCrashRecords removes records that are of no use from the store until ctx is done.
+// One instance on average does so in each period: the removals need no agreement.
+func (g *Gateway) removeCrashRecords(ctx context.Context) {
+	for {
+		sleep(ctx, g.jitter(removalPeriod))
+		if ctx.Err() != nil {
+			return
+		}
+		g.mu.Lock()
+		chosen := g.random.IntN(max(len(g.peers), 1)) == 0
+		g.mu.Unlock()
+		if chosen {
+			g.removeUselessCrashes(ctx)
+		}
+	}
+}
+
+// removeUselessCrashes removes up to maxRemovals records that are of no use.
+func (g *Gateway) removeUselessCrashes(ctx context.Context) {
+	for _, name := range g.uselessCrashes() {
+		if err := g.store.Delete(ctx, platform.KindCrashes, name); err != nil {
+			g.log.Info("removing a crash record failed", "name", name, "err", err)
+			return
+		}
+	}
+}
+
+// uselessCrashes returns the names of up to maxRemovals records that are of no use.
+func (g *Gateway) uselessCrashes() (names []string) {
+	k := g.views.copyOf(platform.KindCrashes)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, o := range k.Objects {
+		r, err := platform.ParseCrashRecord(name, o.Spec)
+		if err != nil || !g.crashes.tracker.Removable(r.Fingerprint, g.clock.Now()) {
+			continue
+		}
+		if names = append(names, name); len(names) == maxRemovals {
+			break
+		}
+	}
+	return names
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,6 +205,7 @@
 	go g.syncCopies(background)
 	go g.askStore(background)
 	go g.sweep(background)
+	go g.removeCrashRecords(background)
 	go g.overload.run(background)
 	go g.runRollouts(background)
 	if g.settings.Quotas != nil {
