Find the live instances among many lost ones in three steps

Cause: each process found out which instances are lost in steps of 8, 16, 32, ... calls, 3.6 s apart. Ruled out: leases that must run out, since without lost ones quotas are served after 2 s.

A step calls as many as must be called to find eight live ones by the share that has answered so far, and follows 1 s after the last one.

--- a/core/liveness/tracker.go
+++ b/core/liveness/tracker.go
@@ -7,6 +7,9 @@
 package liveness
 
 import (
+	"maps"
+	"math"
+
 	"knapweedstall/core/clock"
 	"knapweedstall/core/topology"
 )
@@ -19,6 +22,9 @@
 	lostAfter = 3 * clock.Second
 	// minFailures is the number of calls that must fail for that.
 	minFailures = 3
+	// silentFailures is the number of failed calls from which an instance counts as silent.
+	// A process that is starting may miss the first one.
+	silentFailures = 2
 	// suspectPeriod is the time between two checks of an instance to which the latest call
 	// has failed.
 	suspectPeriod = clock.Second
@@ -31,8 +37,9 @@
 // as live.
 type Tracker struct {
 	failing map[topology.InstanceID]*failing
-	lostAt  clock.Time // when a lost instance was last checked
-	lost    int        // number of lost instances
+	heard   map[topology.InstanceID]bool // instances that were heard last, and not called in vain since
+	lostAt  clock.Time                   // when a lost instance was last checked
+	lost    int                          // number of lost instances
 }
 
 // failing is an instance to which the latest call has failed.
@@ -44,11 +51,14 @@
 }
 
 // New returns a Tracker to which all instances are live.
-func New() *Tracker { return &Tracker{failing: map[topology.InstanceID]*failing{}} }
+func New() *Tracker {
+	return &Tracker{failing: map[topology.InstanceID]*failing{}, heard: map[topology.InstanceID]bool{}}
+}
 
 // Heard notes a call from an instance, or its answer to one. It reports whether the
 // instance was lost.
 func (t *Tracker) Heard(id topology.InstanceID) (returned bool) {
+	t.heard[id] = true
 	f := t.failing[id]
 	if f == nil {
 		return false
@@ -67,6 +77,7 @@
 	}
 	f.failures++
 	f.checkedAt = now
+	delete(t.heard, id)
 	if f.lost || f.failures < minFailures || now.Sub(f.since) < lostAfter {
 		return false
 	}
@@ -84,6 +95,33 @@
 // LostCount returns the number of lost instances.
 func (t *Tracker) LostCount() int { return t.lost }
 
+// Silent returns the number of instances that have not answered the latest calls, the lost
+// ones included.
+func (t *Tracker) Silent() int {
+	n := 0
+	for _, f := range t.failing {
+		if f.failures >= silentFailures {
+			n++
+		}
+	}
+	return n
+}
+
+// Candidates returns how many instances that don't count as lost must be called to find n
+// live ones, if the share of these is what it was among those that were called so far.
+func (t *Tracker) Candidates(n int) int {
+	silent, heard := t.Silent(), len(t.heard)
+	if silent == 0 {
+		return n
+	}
+	share := (float64(heard) + 0.5) / (float64(heard+silent) + 0.5)
+	return max(n+silent, int(math.Ceil(float64(n)/share))-t.lost)
+}
+
+// Known reports whether an instance has answered the latest call, or is checked until it
+// does.
+func (t *Tracker) Known(id topology.InstanceID) bool { return t.heard[id] || t.failing[id] != nil }
+
 // Due returns the instances that should be called at now to find out whether they are live:
 // those to which the latest call has failed, and one lost one at a time.
 func (t *Tracker) Due(now clock.Time) []topology.InstanceID {
@@ -112,6 +150,7 @@
 			t.forget(id, f)
 		}
 	}
+	maps.DeleteFunc(t.heard, func(id topology.InstanceID, _ bool) bool { return !registered(id) })
 }
 
 func (t *Tracker) forget(id topology.InstanceID, f *failing) {
--- a/core/liveness/tracker_test.go
+++ b/core/liveness/tracker_test.go
@@ -85,3 +85,48 @@
 		t.Errorf("instances that are not registered are checked: %v", due)
 	}
 }
+
+// TestCandidatesAmongMostlyLost guards against steps that find out too slowly that most of
+// the registered instances are lost, and against calls of many when a few are.
+func TestCandidatesAmongMostlyLost(t *testing.T) {
+	for name, c := range map[string]struct{ live, silent, from, to int }{
+		"all live":         {8, 0, 8, 8},
+		"one of nine":      {8, 1, 9, 10},
+		"a third":          {6, 3, 11, 13},
+		"all of eight":     {0, 8, 100, 200},
+		"all of a hundred": {0, 100, 1000, 3000},
+		"most":             {5, 200, 290, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := liveness.New()
+			for i := range c.live {
+				tracker.Heard(topology.InstanceID(fmt.Sprint("live-", i)))
+			}
+			for i := range c.silent {
+				for _, at := range []clock.Time{1, 1000} {
+					tracker.Failed(topology.InstanceID(fmt.Sprint("silent-", i)), at)
+				}
+			}
+			if got := tracker.Candidates(8); got < c.from || got > c.to {
+				t.Errorf("%d candidates, want %d to %d", got, c.from, c.to)
+			}
+		})
+	}
+}
+
+// TestCandidatesBeyondLost guards against steps that don't grow because the instances that
+// answer were heard before the others were lost.
+func TestCandidatesBeyondLost(t *testing.T) {
+	tracker := liveness.New()
+	for i := range 9 {
+		tracker.Heard(topology.InstanceID(fmt.Sprint("live-", i)))
+	}
+	for i := range 64 {
+		for _, at := range []clock.Time{1, 1000, 4000} {
+			tracker.Failed(topology.InstanceID(fmt.Sprint("lost-", i)), at)
+		}
+	}
+	if got := tracker.Candidates(8); got < 8+64 {
+		t.Errorf("%d candidates after 64 losses, want 72 or more", got)
+	}
+}
--- a/gateway/lostcoordinators_test.go
+++ b/gateway/lostcoordinators_test.go
@@ -19,6 +19,7 @@
 		"refused connections":       {9, 0},
 		"silent":                    {0, 9},
 		"most of a large list":      {20, 40},
+		"nearly all of a long list": {300, 0},
 		"no instance has been lost": {0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/quotalease.go
+++ b/gateway/quotalease.go
@@ -108,6 +108,7 @@
 	defer ticker.Stop()
 	var warmed *coordinator.Ring
 	var warmedAt clock.Time
+	silent := 0 // instances that did not answer when links were last opened
 	for {
 		select {
 		case <-ctx.Done():
@@ -120,10 +121,11 @@
 		}
 		ring, now := g.currentQuotaRing(), g.clock.Now()
 		if g.quotaCoordinator.inUse() {
+			silentNow := g.silentInstances()
 			switch {
-			case ring != warmed:
-				warmed, warmedAt = ring, now
-				go g.warmLinks(ctx, g.coordinatorsAndNext())
+			case ring != warmed || silentNow > silent && now.Sub(warmedAt) >= widenPeriod:
+				warmed, warmedAt, silent = ring, now, silentNow
+				go g.warmLinks(ctx, slices.Concat(ring.Ranked(""), g.coordinatorsAndNext()))
 			case now.Sub(warmedAt) > warmPeriod:
 				warmedAt = now
 				go g.warmLinks(ctx, ring.Ranked(""))
@@ -160,13 +162,25 @@
 	return g.quotaRing
 }
 
-// coordinatorsAndNext returns the coordinators of quotas, and as many of those that come
-// after them as instances are lost, so that the loss of most instances is found out in a
-// few steps.
+// widenPeriod is the time between two steps in which more instances are called because
+// others have not answered.
+const widenPeriod = clock.Second
+
+// silentInstances returns the number of instances that have not answered the latest calls.
+func (g *Gateway) silentInstances() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.liveness.Silent()
+}
+
+// coordinatorsAndNext returns the coordinators of quotas, and those that come after them, as
+// many as must be called to find live ones, so that the loss of most instances is found out
+// in a few steps. Those of which is known whether they answer are left out.
 func (g *Gateway) coordinatorsAndNext() []placing.Instance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return coordinator.Candidates(g.liveInstances(), coordinator.MaxCoordinators+g.liveness.LostCount())
+	next := coordinator.Candidates(g.liveInstances(), g.liveness.Candidates(coordinator.MaxCoordinators))
+	return slices.DeleteFunc(next, func(in placing.Instance) bool { return g.liveness.Known(in.ID) })
 }
 
 // moment returns the time on both clocks.
