Count the sends of a lost instance as attempts of the request

Cause: a delegated search whose link breaks was run again with all its attempts; the lost run counted for the budget of repeats only.

An instance that answers without a result says how many targets may have run the request, and these count. One that was killed may have used all attempts: the caller gets 502.

--- a/core/fanout/call.go
+++ b/core/fanout/call.go
@@ -83,11 +83,16 @@
 	c.shards = make([]shard, len(params.Services))
 	for i, name := range params.Services {
 		c.shards[i].service = name
+		s := &c.shards[i]
 		if params.AlreadySent {
-			c.shards[i].reached = 1
+			s.reached, s.ran, s.sends = 1, params.EarlierSends, params.EarlierSends
 		} else {
 			budget.AddRequest(name, now)
 		}
+		if s.ran >= params.MaxAttempts {
+			s.reason, s.exhausted = OutOfAttempts, true
+			continue
+		}
 		c.send(i, replica.First, now)
 	}
 	c.sendToPaced(now)
@@ -159,6 +164,16 @@
 	return c.params.AlreadySent || slices.ContainsFunc(c.shards, func(s shard) bool { return s.ran > 0 })
 }
 
+// MostSends returns the number of targets of a service that may have run the request, those
+// before this call included, of the service with the most.
+func (c *Call) MostSends() int {
+	most := 0
+	for i := range c.shards {
+		most = max(most, c.shards[i].ran)
+	}
+	return most
+}
+
 // takeSends returns and clears the sends that the driver has not received yet.
 func (c *Call) takeSends() []Send {
 	out := c.sends
--- a/core/fanout/params.go
+++ b/core/fanout/params.go
@@ -28,6 +28,9 @@
 	MaxAttempts int                   // maximum number of targets that may run the request, for each service
 	MinCoverage float64               // minimum share of the services in an answer, 0 to 1
 	AlreadySent bool                  // targets may have received the request before, so every send is a repeat
+	// EarlierSends is the number of targets of each service that may have run the request
+	// before; they count towards MaxAttempts.
+	EarlierSends int
 
 	// Untimed reports whether the latency of a target's answers is not observed, because
 	// it may differ from that of the route; nil for none.
--- a/core/fanout/shard.go
+++ b/core/fanout/shard.go
@@ -11,6 +11,10 @@
 // repeats to the service is used up.
 const OutOfBudget replica.Reason = "budget"
 
+// OutOfAttempts is the reason of a service that gets no send, because as many targets as the
+// route allows may have run the request before.
+const OutOfAttempts replica.Reason = "attempts"
+
 // shard is the state of one service of a call.
 type shard struct {
 	service   routing.ServiceName
--- a/gateway/delegated.go
+++ b/gateway/delegated.go
@@ -36,6 +36,9 @@
 	q.fingerprint, q.version = r.Fingerprint, table.Config.Version
 	q.params = callParams(route, q.services, q.arrived, max(r.Remaining, 1), max(r.PartialAfter, 1))
 	q.params.AlreadySent = r.AlreadySent
+	if r.AlreadySent {
+		q.params.EarlierSends = max(r.EarlierSends, 1)
+	}
 	q.controlled = len(table.Config.Workspaces) > 0
 	q.start(table)
 	defer q.finish()
@@ -63,6 +66,9 @@
 	a := delegate.Answer{State: string(q.state)}
 	succeeded := q.state == fanout.Complete || q.state == fanout.Partial
 	a.LacksCapacity = !succeeded && q.call.LacksCapacity()
+	if !succeeded {
+		a.Sends = q.call.MostSends()
+	}
 	switch {
 	case succeeded && q.route.IsSearch():
 		a.Body, a.Digests = q.merge()
--- a/io/delegate/delegate.go
+++ b/io/delegate/delegate.go
@@ -34,6 +34,9 @@
 	// fingerprint, but another Head, since Head contains the request's id.
 	Fingerprint poison.Fingerprint `cbor:"10,keyasint"`
 	AlreadySent bool               `cbor:"11,keyasint"` // targets may have received the request before
+	// EarlierSends is the number of targets of each service that may have run the request
+	// before. An instance of an older version does not set it.
+	EarlierSends int `cbor:"13,keyasint,omitempty"`
 }
 
 // Answer is the result of a request.
@@ -52,6 +55,10 @@
 	// LacksCapacity tells that the request has failed because targets have too much to
 	// do. An instance of an older version does not set it.
 	LacksCapacity bool `cbor:"12,keyasint,omitempty"`
+	// Sends is the number of targets of one service that may have run the request, of the
+	// service with the most, if the request was not answered. An instance of an older
+	// version does not set it.
+	Sends int `cbor:"13,keyasint,omitempty"`
 }
 
 // message is a message on a link. A message to the instance that runs the requests has
