Run a search of an older build that stops once more

A build that does not say how many targets may have run a request that it gives up when it stops has sent it to one at least. Taken for all, its searches would end with 502 in a planned stop beside newer builds.

--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -98,7 +98,7 @@
 	case err == nil && answer.Declined:
 		return next
 	case err == nil && interrupted && q.repeatable(): // the other instance shut down
-		return q.runAgain(w, runner, answer.Sends, next)
+		return q.runAgain(w, runner, max(answer.Sends, 1) /* an older build does not say */, next)
 	case err == nil:
 		q.answerDelegated(w, runner, answer)
 		return answered
