Don't take a refusal for an answer that clears a request

A target's 408, 421 or 429 says that the request has not run, also without the header that states it, so it does not show that the request crashes no target.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -322,8 +322,12 @@
 }
 
 // hasRun reports whether the failure shows that a target has run the request to its end. One
-// that has not read all of a body may reject it.
+// that has not read all of a body may reject it, and some statuses say that it has not run.
 func (q *request) hasRun(failure upstream.Answer) bool {
+	switch failure.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
 	return !q.route.IsSearch() && len(q.out.Body) == 0 && failure.Status < http.StatusInternalServerError
 }
 
