Crash the targets of a test as a process crashes

TestPopularRequestAtCrashes failed once beside four busy processes: two crashes were not recorded. Traced: the stand-in ended its connections and closed its listener after that, so the probe of an instance could still reach it.

--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -70,8 +70,8 @@
 	env.eventually("all targets run the request", func() bool {
 		return env.targets["single1"].InProgress() > 0 && env.targets["single2"].InProgress() > 0 && env.targets["single3"].InProgress() > 0
 	})
-	env.targets["single1"].Close()
-	env.targets["single2"].Close()
+	env.targets["single1"].Crash()
+	env.targets["single2"].Crash()
 	wait.Wait()
 	env.eventually("two crashes are recorded", func() bool {
 		return len(crashes(env.store, poison.NewFingerprint("", "GET", host, "/plain/popular", nil))) == 2
