Begin the next trial after the record of the latest one has changed

A refused request got no trial any more at an instance whose copy lacked a change of the trial's record, as after its removal from the store: each conditional write failed with the same revision. Found by reading. The conflict's object, or else the creation of the record, decides now.

--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -88,6 +88,14 @@
 	}
 }
 
+// ForgetTrialRecord notes that the store may no longer have the record of the latest trial.
+// The next one is begun by creating it, which fails if the store has it.
+func (t *Tracker) ForgetTrialRecord(f Fingerprint) {
+	if s := t.suspects[f]; s != nil {
+		s.trial.Revision = 0
+	}
+}
+
 func (t *Tracker) suspect(f Fingerprint, now clock.Time) *suspect {
 	s := t.suspects[f]
 	if s == nil {
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -92,6 +92,7 @@
 	o, err := g.store.PutIf(ctx, platform.KindCrashes, name, last.Revision, spec)
 	if err != nil {
 		g.log.Info("trial of a refused request not begun", "fingerprint", f, "trial", last.Number+1, "err", err)
+		g.noteTrialRecord(f, err)
 		return false
 	}
 	g.log.Info("trial of a refused request", "fingerprint", f, "trial", last.Number+1)
@@ -101,6 +102,24 @@
 	return true
 }
 
+// noteTrialRecord notes what the failure of a conditional write says about the record of the
+// latest trial. Otherwise an instance whose copy lacks a change could begin no trial any more.
+func (g *Gateway) noteTrialRecord(f poison.Fingerprint, err error) {
+	var conflict *platform.ConflictError
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !errors.As(err, &conflict) {
+		g.crashes.tracker.ForgetTrialRecord(f)
+		return
+	}
+	r, err := platform.ParseCrashRecord(conflict.Name, conflict.Object.Spec)
+	if err != nil {
+		g.log.Warn("invalid crash entry ignored", "name", conflict.Name, "revision", conflict.Object.Revision, "err", err)
+	}
+	// The number of an invalid record is 0; its revision is what the next write needs.
+	g.crashes.tracker.SetTrial(f, poison.Trial{Number: r.Trial, Revision: conflict.Object.Revision}, 0, g.clock.Now())
+}
+
 // checkCrash checks whether a target whose connection broke has crashed, that is,
 // refuses connections while other targets can be reached and has not said that it is about
 // to stop. If the request may be the cause, it shares the crash with all instances.
