--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -81,7 +81,10 @@
 
 // NewClient returns a client for the platform at address (host:port).
 func NewClient(address string, opts ...Option) *Client {
-	c := &Client{base: "http://" + address, http: &http.Client{CheckRedirect: noRedirect}, timeout: time.Second}
+	c := &Client{base: "http://" + address, http: &http.Client{
+		Transport:     &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: time.Minute},
+		CheckRedirect: noRedirect,
+	}, timeout: time.Second}
 	for _, o := range opts {
 		o(c)
 	}
@@ -172,6 +175,7 @@
 // Bounds of a reply.
 const (
 	maxStatus     = 599
+	maxHeadBytes  = 64 << 10
 	maxReplyBytes = 16 << 20 // of the body; the largest is the list of all objects
 )
 
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -21,6 +21,7 @@
 
 const (
 	maxStatus       = 599
+	maxHeadBytes    = 64 << 10
 	maxAnswerBytes  = 8 << 20
 	idleConnTimeout = 30 * time.Second
 	cancelTimeout   = 200 * time.Millisecond
@@ -111,10 +112,11 @@
 	if h == nil {
 		h = &http.Client{
 			Transport: &http.Transport{
-				MaxConnsPerHost:     c.maxConns,
-				MaxIdleConnsPerHost: c.maxConns,
-				IdleConnTimeout:     idleConnTimeout,
-				DialContext:         c.dialer(c.dialTimeout),
+				MaxConnsPerHost:        c.maxConns,
+				MaxIdleConnsPerHost:    c.maxConns,
+				IdleConnTimeout:        idleConnTimeout,
+				DialContext:            c.dialer(c.dialTimeout),
+				MaxResponseHeaderBytes: maxHeadBytes,
 			},
 			CheckRedirect: noRedirect,
 		}
