--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,8 @@
 	trouble   bool
 	store     *store
 	instances []*instance
+	// newInstance returns an instance that has not been started.
+	newInstance func(name, zone string) *instance
 }
 
 // errNotRun tells why a case could not run.
@@ -45,11 +47,12 @@
 
 // cases returns whether the rule held.
 var cases = map[string]func(w *world) bool{
-	"cold":    coldCase,
-	"restart": restartCase,
-	"limits":  limitsCase,
-	"poison":  poisonCase,
-	"cut":     cutCase,
+	"cold":     coldCase,
+	"restart":  restartCase,
+	"limits":   limitsCase,
+	"poison":   poisonCase,
+	"replaced": replacedCase,
+	"cut":      cutCase,
 }
 
 func main() {
@@ -81,6 +84,9 @@
 		}
 	}()
 	w := &world{root: os.Args[2], dir: dir, rec: rec, trouble: os.Getenv("TROUBLE") != "0", store: newStore()}
+	w.newInstance = func(name, zone string) *instance {
+		return newInstance(w.root, w.dir, name, zone, w.store.address())
+	}
 	defer func() {
 		for _, in := range w.instances {
 			in.kill()
@@ -108,15 +114,19 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// maxSeeds is the number of machines that the settings name as seeds.
+const maxSeeds = 3
+
 // startInstances starts one instance in each zone, as at the first start of the system, and
 // waits until all are ready.
 func (w *world) startInstances(zones ...string) {
 	var seeds []string
 	for n, zone := range zones {
-		in := newInstance(w.root, w.dir, fmt.Sprintf("frontend-%s-%d", zone, n+1), zone, w.store.address())
+		in := w.newInstance(fmt.Sprintf("frontend-%s-%d", zone, n+1), zone)
 		w.instances = append(w.instances, in)
 		seeds = append(seeds, in.peers)
 	}
+	seeds = seeds[:min(len(seeds), maxSeeds)]
 	for _, in := range w.instances {
 		check(in.start(seeds, true))
 	}
