Count answers without a length by the state of the request's write

Neither a log line nor a metric told why an answer without a length counted as whole: an orderly end of the connection, a read error that was dropped, a cut on the way through another instance, or an error that the write of the request got in place of the read.

target_answers_unframed{write} tells them apart. The write of a request is a type of its own now; what callers see is unchanged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -288,7 +288,7 @@
 func (g *Gateway) gauges() gauges {
 	limited, lowest := g.overload.limits()
 	v := gauges{groupsLimited: limited, overloadLimit: lowest, viewAge: g.views.age(), connectionsOpened: g.pool.Opened(),
-		connsBypassed: g.pool.Bypassed(), answersSkipped: g.pool.Skipped(), linesDropped: g.droppedLines()}
+		connsBypassed: g.pool.Bypassed(), answersSkipped: g.pool.Skipped(), answersUnframed: g.pool.Unframed, linesDropped: g.droppedLines()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v.rollouts = g.rolloutCounts()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,6 +12,7 @@
 	"knapweedstall/core/replica"
 	"knapweedstall/core/routing"
 	iometrics "knapweedstall/io/metrics"
+	"knapweedstall/io/upstream"
 )
 
 // metricsPeriod is how often metrics are published. A shorter period takes too much
@@ -38,9 +39,10 @@
 	delegated         tally.Counter // requests that other instances ran
 	sourcesLost       tally.Counter // losses of the store or of a followed instance of this zone
 	connectionsOpened tally.Counter
-	connsBypassed     tally.Counter // idle connections not used since they had carried the same request
-	answersSkipped    tally.Counter // answers to earlier requests, from targets
-	acceptsFailed     tally.Counter // accepts of connections that have failed
+	connsBypassed     tally.Counter                         // idle connections not used since they had carried the same request
+	answersSkipped    tally.Counter                         // answers to earlier requests, from targets
+	answersUnframed   map[upstream.WriteState]tally.Counter // answers that ended with their connection, by the state of the request's write
+	acceptsFailed     tally.Counter                         // accepts of connections that have failed
 	linesDropped      tally.Counter
 	panics            tally.Counter // requests that a panic failed
 	targetsLeaving    tally.Counter // targets whose answers state that they are leaving
@@ -56,6 +58,7 @@
 	overloadLimit     tally.Gauge // lowest of these limits; 0 for none
 
 	lastConnects, lastDropped, lastBypassed, lastSkipped int64
+	lastUnframed                                         map[upstream.WriteState]int64
 }
 
 func newCounters() *counters {
@@ -94,6 +97,11 @@
 		groupsLimited:     scope.Gauge("overload_groups_limited"),
 		overloadLimit:     scope.Gauge("overload_limit_per_second"),
 		rollouts:          newRolloutCounters(scope),
+		answersUnframed:   map[upstream.WriteState]tally.Counter{},
+		lastUnframed:      map[upstream.WriteState]int64{},
+	}
+	for _, w := range []upstream.WriteState{upstream.WriteDone, upstream.WriteBlocked, upstream.WriteFailed} {
+		c.answersUnframed[w] = scope.Tagged(map[string]string{"write": string(w)}).Counter("target_answers_unframed")
 	}
 	for _, s := range []fanout.State{
 		fanout.Complete, fanout.Partial, fanout.Failure, fanout.Refused, fanout.TimedOut, fanout.Expired, fanout.Abandoned,
@@ -141,11 +149,12 @@
 	instancesLost     int
 	groupsLimited     int
 	overloadLimit     overload.Rate
-	connectionsOpened int64          // in total
-	connsBypassed     int64          // in total
-	answersSkipped    int64          // in total
-	linesDropped      int64          // in total
-	rollouts          map[string]int // orders, by phase
+	connectionsOpened int64                           // in total
+	connsBypassed     int64                           // in total
+	answersSkipped    int64                           // in total
+	answersUnframed   func(upstream.WriteState) int64 // in total
+	linesDropped      int64                           // in total
+	rollouts          map[string]int                  // orders, by phase
 }
 
 // update sets the metrics that are not counted by request. It must be called by one
@@ -172,4 +181,9 @@
 	c.answersSkipped.Inc(v.answersSkipped - c.lastSkipped)
 	c.lastConnects, c.lastDropped = v.connectionsOpened, v.linesDropped
 	c.lastBypassed, c.lastSkipped = v.connsBypassed, v.answersSkipped
+	for state, counter := range c.answersUnframed {
+		total := v.answersUnframed(state)
+		counter.Inc(total - c.lastUnframed[state])
+		c.lastUnframed[state] = total
+	}
 }
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -84,6 +84,7 @@
 	opened   int64
 	bypassed int64
 	skipped  int64
+	unframed map[WriteState]int64 // by the state of the write of the request
 }
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -99,7 +100,7 @@
 // NewPool returns an empty Pool.
 func NewPool(c clock.Clock, opts ...Option) *Pool {
 	dialer := net.Dialer{KeepAliveConfig: targetKeepAlive}
-	p := &Pool{clock: c, dialContext: dialer.DialContext, bodies: body.NewReader(bodyLimits), idle: map[topology.TargetID][]*conn{}}
+	p := &Pool{clock: c, dialContext: dialer.DialContext, bodies: body.NewReader(bodyLimits), idle: map[topology.TargetID][]*conn{}, unframed: map[WriteState]int64{}}
 	for _, o := range opts {
 		o(p)
 	}
@@ -134,6 +135,20 @@
 	p.skipped++
 }
 
+// Unframed returns the number of answers so far whose body ended with the connection while
+// the write of the request was in the state.
+func (p *Pool) Unframed(state WriteState) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unframed[state]
+}
+
+func (p *Pool) countUnframed(state WriteState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unframed[state]++
+}
+
 // takeIdle removes a usable idle connection to the target, on which r may be sent, from
 // the pool and returns it, or nil if there is none.
 func (p *Pool) takeIdle(id topology.TargetID, r *Request) *conn {
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -84,37 +84,22 @@
 // accepted no byte of the request.
 func (p *Pool) exchange(ctx context.Context, c *conn, r *Request, left clock.Duration) (res Result, retry bool) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // on a closed connection, reads and writes fail anyway
-	written := make(chan error, 1)
 	message := make([]byte, 0, len(r.Head)+len(r.Body)+128)
 	message = append(platform.AppendSendHeaders(append(message, r.Head...), c.target, left), r.Body...)
-	if len(r.Body) > largeBodyBytes {
-		go func() { _, err := c.Write(message); written <- err }()
-	} else {
-		n, err := c.Write(message)
-		if err != nil && n == 0 {
-			stop()
-			c.close()
-			if ctx.Err() != nil {
-				return Result{Outcome: replica.Canceled, Err: err}, false
-			}
-			return Result{Outcome: replica.Unsent, Err: err}, true
+	w := startWrite(c, message, len(r.Body) > largeBodyBytes)
+	if w.notSent() {
+		stop()
+		c.close()
+		if ctx.Err() != nil {
+			return Result{Outcome: replica.Canceled, Err: w.err}, false
 		}
-		written <- err
+		return Result{Outcome: replica.Unsent, Err: w.err}, true
 	}
-	res, reusable := p.read(c, r)
+	res, reusable := p.read(c, r, w)
 	if !stop() && res.Outcome == replica.Lost {
 		res.Outcome = replica.Canceled
 	}
-	if ctx.Err() != nil {
-		reusable = false
-	}
-	select {
-	case err := <-written:
-		reusable = reusable && err == nil
-	default:
-		reusable = false
-	}
-	if !reusable {
+	if !reusable || !w.complete() || ctx.Err() != nil {
 		c.close()
 		return res, false
 	}
@@ -125,11 +110,11 @@
 	return res, false
 }
 
-// read reads the answer to r from c. reusable reports whether c may carry another
-// request.
+// read reads the answer to r, which w writes, from c. reusable reports whether c may carry
+// another request.
 //
 // An answer with another request id belongs to an earlier request and is skipped.
-func (p *Pool) read(c *conn, r *Request) (res Result, reusable bool) {
+func (p *Pool) read(c *conn, r *Request, w *requestWrite) (res Result, reusable bool) {
 	request := &http.Request{Method: r.Method}
 	for skipped, interim := 0, 0; ; skipped++ {
 		c.limit.left = maxHeadBytes
@@ -153,6 +138,10 @@
 		if err != nil {
 			return lostAnswer(err), false
 		}
+		if endsWithConnection(resp) {
+			state, _ := w.end()
+			p.countUnframed(state)
+		}
 		if reply.RequestID != "" && reply.RequestID != r.ID {
 			if skipped == maxSkippedAnswers {
 				return Result{Outcome: replica.Lost, Err: &MismatchedAnswerError{ID: reply.RequestID}}, false
@@ -174,6 +163,11 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection ends an answer's body.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // isInterim reports whether an answer is interim, that is, the final one follows. One that
 // states a body is not: where the next answer begins is not known.
 func isInterim(resp *http.Response) bool {
