Don't take an answer that was broken off for a whole one

The error that ends a connection is reported to one call only. The write of the request got it, and the read an end of file, which ends such an answer.

When an answer without a length ends, the write is ended too and its error looked at; with one, the answer is lost. An answer with a length or in chunks stays an answer.

TestStoreAnswerBrokenOff passes before too: the store's answers are JSON, which shows its end.

--- a/io/upstream/errors.go
+++ b/io/upstream/errors.go
@@ -17,6 +17,18 @@
 	return fmt.Sprintf("more than %d interim answers", e.Limit)
 }
 
+// BrokenOffError reports that an answer without a length ended on a connection that failed
+// while the request was being written. Cause is the error of the write.
+type BrokenOffError struct{ Cause error }
+
+// Error implements error.
+func (e *BrokenOffError) Error() string {
+	return "answer without a length broken off: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *BrokenOffError) Unwrap() error { return e.Cause }
+
 // InvalidAnswerError reports why a complete answer can't be used.
 type InvalidAnswerError struct{ Detail string }
 
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -139,8 +139,11 @@
 			return lostAnswer(err), false
 		}
 		if endsWithConnection(resp) {
-			state, _ := w.end()
+			state, err := w.end()
 			p.countUnframed(state)
+			if err != nil {
+				return lostAnswer(&BrokenOffError{Cause: err}), false
+			}
 		}
 		if reply.RequestID != "" && reply.RequestID != r.ID {
 			if skipped == maxSkippedAnswers {
--- a/io/upstream/write.go
+++ b/io/upstream/write.go
@@ -63,7 +63,9 @@
 }
 
 // end interrupts the write if it is in progress, and returns its state and, if it has
-// failed, its error.
+// failed, its error. A reader of an answer that ends with the connection needs it: the system
+// reports the error that ends a connection, such as a reset, to one call only, and when that
+// is the write, a read gets an end of file.
 func (w *requestWrite) end() (WriteState, error) {
 	select {
 	case <-w.done:
