Read the answer while a large head is written

An early answer of a target to a request with a head of 60 KB and a body of 16 KB was not read while the write was blocked: the send ended at its deadline, without the answer. Only the size of the body decided whether the answer is read beside the write; the size of the whole request does now.

TestAnswerBesideBlockedWrite, large head: canceled after 2 s before, answered now.

--- a/io/upstream/brokenoff_test.go
+++ b/io/upstream/brokenoff_test.go
@@ -81,21 +81,28 @@
 	}
 }
 
-// TestAnswerBesideBlockedWrite guards against a whole answer without a length that is lost,
-// or waited for, because its target does not read the rest of the request.
+// TestAnswerBesideBlockedWrite guards against a whole answer that is lost, or waited for,
+// because its target does not read the rest of a request with a large body or a large head.
 func TestAnswerBesideBlockedWrite(t *testing.T) {
-	text := "HTTP/1.1 200 OK\r\n" + platformtest.HeaderRequestID + ": 1\r\n" + platformtest.HeaderDigest + ": st-1\r\n\r\nyes"
-	released := make(chan struct{})
-	target := startEarlyTarget(t, text, func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		<-released
-	})
-	defer close(released)
-	pool := upstream.NewPool(osclock.New(), upstream.WithDial(platformtest.DialSmall))
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	got := pool.Send(ctx, longRequest(0, 250_000), "t1", target.Address(), 2*clock.Second)
-	if got.Outcome != replica.Answered || string(got.Answer.Body) != "yes" {
-		t.Errorf("outcome %q with the body %q, want the answer; error %v", got.Outcome, got.Answer.Body, got.Err)
+	head := "HTTP/1.1 200 OK\r\n" + platformtest.HeaderRequestID + ": 1\r\n" + platformtest.HeaderDigest + ": st-1\r\n"
+	for framing, answer := range map[string]string{"no length": head + "\r\nyes", "length": head + "Content-Length: 3\r\n\r\nyes"} {
+		for size, request := range map[string]*upstream.Request{"body": longRequest(0, 250_000), "head": longRequest(60_000, 16_000)} {
+			t.Run(framing+", large "+size, func(t *testing.T) {
+				t.Parallel()
+				released := make(chan struct{})
+				target := startEarlyTarget(t, answer, func(c *net.TCPConn) {
+					_ = c.CloseWrite()
+					<-released
+				})
+				defer close(released)
+				pool := upstream.NewPool(osclock.New(), upstream.WithDial(platformtest.DialSmall))
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				got := pool.Send(ctx, request, "t1", target.Address(), 2*clock.Second)
+				if got.Outcome != replica.Answered || string(got.Answer.Body) != "yes" {
+					t.Errorf("outcome %q with the body %q, want the answer; error %v", got.Outcome, got.Answer.Body, got.Err)
+				}
+			})
+		}
 	}
 }
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -19,7 +19,7 @@
 // Limits of requests and answers.
 const (
 	maxSkippedAnswers = 2     // answers to earlier requests that are skipped
-	largeBodyBytes    = 16384 // a larger body is written while the answer is read
+	largeRequestBytes = 16384 // a larger request is written while the answer is read
 )
 
 // Request holds the data that all sends of one request share.
@@ -86,7 +86,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // on a closed connection, reads and writes fail anyway
 	message := make([]byte, 0, len(r.Head)+len(r.Body)+128)
 	message = append(platform.AppendSendHeaders(append(message, r.Head...), c.target, left), r.Body...)
-	w := startWrite(c, message, len(r.Body) > largeBodyBytes)
+	w := startWrite(c, message)
 	if w.notSent() {
 		stop()
 		c.close()
--- a/io/upstream/write.go
+++ b/io/upstream/write.go
@@ -26,15 +26,15 @@
 	err  error
 }
 
-// startWrite writes message, if large is set while the answer is read, since a target may
-// answer before it has read it.
-func startWrite(conn net.Conn, message []byte, large bool) *requestWrite {
+// startWrite writes message. A large one is written while the answer is read, since a
+// target may answer before it has read it.
+func startWrite(conn net.Conn, message []byte) *requestWrite {
 	w := &requestWrite{conn: conn, done: make(chan struct{})}
 	write := func() {
 		defer close(w.done)
 		w.n, w.err = conn.Write(message)
 	}
-	if large {
+	if len(message) > largeRequestBytes {
 		go write()
 	} else {
 		write()
