--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -103,6 +103,8 @@
 		ReadHeaderTimeout: l.HeaderTimeout.Std(),
 		IdleTimeout:       l.IdleTimeout.Std(),
 		ConnState:         s.open.observe,
+
+		DisableGeneralOptionsHandler: true, // the handler answers OPTIONS * too
 	}
 	s.current = &connListener{conns: make(chan net.Conn), done: make(chan struct{}), address: s.listener.Addr()}
 	s.servers = append(s.servers, server)
