Apply the limits in force to each request of a caller

Likewise, heads that a raised headerTimeoutMs allows got no answer, connections were closed before a raised idleTimeoutMs, and lowered limits did not apply.

Each set of limits had an http.Server, with which a connection stayed for life; each change left one behind (425 goroutines after 400 changes). Ruled out: instances without the new version (their logs have it), and targets (their record has none of the requests).

There is one http.Server without limits now, on connections that enforce those in force: from a request's first byte, raised ones at once, and without closing a connection for a change. A slow head gets 408.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,7 +179,7 @@
 // Serve runs the instance until ctx is done and then shuts it down gracefully.
 func (g *Gateway) Serve(ctx context.Context) error {
 	callers, err := ingress.Listen(g.settings.Listen.Callers, http.HandlerFunc(g.serveRecovered),
-		ingress.WithMaxConnections(maxCallerConnections()), ingress.OnFailure(g.acceptFailed))
+		ingress.WithMaxConnections(maxCallerConnections()), ingress.OnFailure(g.acceptFailed), ingress.OnReject(g.metrics.rejected))
 	if err != nil {
 		return err
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,8 @@
 	connsBypassed     tally.Counter                         // idle connections not used since they had carried the same request
 	answersSkipped    tally.Counter                         // answers to earlier requests, from targets
 	answersUnframed   map[upstream.WriteState]tally.Counter // answers that ended with their connection, by the state of the request's write
+	headsTooSlow      tally.Counter                         // requests rejected since their head took too long
+	headsTooLarge     tally.Counter                         // requests rejected since their head was too large
 	acceptsFailed     tally.Counter                         // accepts of connections that have failed
 	linesDropped      tally.Counter
 	panics            tally.Counter // requests that a panic failed
@@ -83,6 +85,8 @@
 		connectionsOpened: scope.Counter("target_connections_opened"),
 		connsBypassed:     scope.Counter("target_connections_bypassed"),
 		answersSkipped:    scope.Counter("target_answers_skipped"),
+		headsTooSlow:      scope.Counter("request_heads_too_slow"),
+		headsTooLarge:     scope.Counter("request_heads_too_large"),
 		acceptsFailed:     scope.Counter("accepts_failed"),
 		linesDropped:      scope.Counter("log_lines_dropped"),
 		panics:            scope.Counter("panics"),
@@ -139,6 +143,16 @@
 	}
 }
 
+// rejected counts a request that was rejected before its head was complete.
+func (c *counters) rejected(status int) {
+	switch status {
+	case http.StatusRequestTimeout:
+		c.headsTooSlow.Inc(1)
+	case http.StatusRequestHeaderFieldsTooLarge:
+		c.headsTooLarge.Inc(1)
+	}
+}
+
 // gauges are the values of the metrics that are not counted by request.
 type gauges struct {
 	configVersion     routing.Version
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -18,6 +18,7 @@
 	"knapweedstall/core/topology"
 	"knapweedstall/core/workspace"
 	"knapweedstall/io/body"
+	"knapweedstall/io/ingress"
 	"knapweedstall/io/upstream"
 	"knapweedstall/platform"
 )
@@ -147,7 +148,7 @@
 
 // runForCaller reads the body of a request, runs the request and answers it.
 func (g *Gateway) runForCaller(w http.ResponseWriter, r *http.Request, c *callerRequest) {
-	data, release, ok := g.readBody(w, r, c.table.Config.Limits.BodyBytes)
+	data, release, ok := g.readBody(w, r, max(c.table.Config.Limits.BodyBytes, ingress.BodyLimit(r.Context())))
 	defer release()
 	if !ok || !c.credit.renew(w, r) {
 		return
--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -1,45 +1,195 @@
 package ingress
 
 import (
+	"bytes"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"knapweedstall/core/routing"
 )
 
-// callerConn is a connection of a caller that can be ended while it is idle. To close it
-// would not do: a request may have been read already whose connection still counts as
-// idle, and it would be passed on to targets and get no answer.
+// phase tells what a caller's connection waits for.
+type phase int
+
+// Phases of a connection. The limits of a phase are those in force when it begins; while a
+// request is handled, they are those of its head.
+const (
+	opened phase = iota // the first byte of the first request; bounded by the header timeout
+	inHead              // the rest of a request's head; bounded by the header timeout and size
+	active              // the handler; not bounded here
+	idle                // the first byte of the next request; bounded by the idle timeout
+)
+
+// callerConn is a connection of a caller. It enforces the limits in force on each request,
+// which an http.Server does not: its limits are the same for all of its connections and
+// times. It sets all deadlines of reads, and the http.Server is to have no timeouts.
+//
+// A connection that is to end is not closed while it is idle: a request may have been read
+// already whose connection still counts as idle, and it would be passed on to targets and
+// get no answer.
 type callerConn struct {
 	net.Conn
+	inForce  func() routing.Limits
+	rejected func(status int) // called when a request is rejected
+
+	mu        sync.Mutex
+	phase     phase
+	since     time.Time      // when the phase began
+	limits    routing.Limits // of the phase, or of the request in progress
+	headBytes int            // bytes read since the beginning of the head
+	ending    bool           // the connection ends unless a byte arrives; only while opened or idle
+}
+
+// newCallerConn returns a connection in no phase. begin must be called before it is used.
+func newCallerConn(c net.Conn, inForce func() routing.Limits, rejected func(status int)) *callerConn {
+	return &callerConn{Conn: c, inForce: inForce, rejected: rejected}
+}
+
+// begin begins a phase.
+func (c *callerConn) begin(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beginLocked(p)
+}
+
+func (c *callerConn) beginLocked(p phase) {
+	c.phase, c.since, c.ending, c.headBytes = p, time.Now(), false, 0
+	if p != active {
+		c.limits = c.inForce()
+	}
+	c.applyDeadline()
+}
+
+// beginHandler notes that the handler has been called.
+func (c *callerConn) beginHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != active { // the request was read together with the one before it
+		c.beginLocked(active)
+	}
+}
+
+// bodyLimit returns the most bytes that the body of the request in progress may have.
+func (c *callerConn) bodyLimit() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.BodyBytes
+}
+
+// raise applies limits that have come into force to the present phase where they are
+// higher. Lower ones apply from the next phase on: the caller may go by the earlier ones.
+func (c *callerConn) raise(l routing.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits.HeaderBytes = max(c.limits.HeaderBytes, l.HeaderBytes)
+	c.limits.BodyBytes = max(c.limits.BodyBytes, l.BodyBytes)
+	c.limits.HeaderTimeout = max(c.limits.HeaderTimeout, l.HeaderTimeout)
+	c.limits.IdleTimeout = max(c.limits.IdleTimeout, l.IdleTimeout)
+	c.applyDeadline()
+}
+
+// past is a deadline that makes reads fail at once.
+var past = time.Unix(1, 0)
+
+// deadline returns when the phase ends the connection; zero for never.
+func (c *callerConn) deadline() time.Time {
+	switch {
+	case c.ending:
+		return past
+	case c.phase == active:
+		return time.Time{}
+	case c.phase == idle:
+		return c.since.Add(c.limits.IdleTimeout.Std())
+	default:
+		return c.since.Add(c.limits.HeaderTimeout.Std())
+	}
+}
+
+func (c *callerConn) applyDeadline() {
+	_ = c.Conn.SetReadDeadline(c.deadline()) // fails only on a closed connection
+}
 
-	mu   sync.Mutex
-	idle bool // an answer has been written, and no byte of the next request has been read
-	used bool // a byte has been read
-	// idleSince is when idle was set.
-	idleSince time.Time
+// SetReadDeadline implements net.Conn. An http.Server without timeouts sets a deadline only
+// to interrupt a read, and the zero one to allow reads again.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.IsZero() {
+		t = c.deadline()
+	}
+	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // http.Server ignores it
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It rejects a request whose head is too large or too slow, and
+// then ends.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.idle, c.used = false, true
+	for {
+		n, err := c.Conn.Read(p)
+		switch status := c.check(p[:n], err); status {
+		case 0:
+			return n, err //nolint:wrapcheck // http.Server compares it
+		case readAgain:
+		default:
+			c.reject(status)
+			return 0, io.EOF
+		}
 	}
-	return n, err
 }
 
-func (c *callerConn) setIdle() {
+// readAgain is a result of check: the deadline has been put off.
+const readAgain = -1
+
+// readBufferBytes is the size of http.Server's buffer: up to so many bytes that follow a head
+// are read with it.
+const readBufferBytes = 4 << 10
+
+// check notes the result of a read. It returns the status with which the request must be
+// rejected, readAgain, or 0.
+func (c *callerConn) check(data []byte, err error) (status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.idleSince = true, time.Now()
+	// Some callers send an empty line after a body.
+	if (c.phase == opened || c.phase == idle) && len(bytes.Trim(data, "\r\n")) > 0 {
+		c.beginLocked(inHead)
+	}
+	if c.phase == inHead {
+		if c.headBytes += len(data); c.headBytes > c.limits.HeaderBytes+readBufferBytes {
+			return http.StatusRequestHeaderFieldsTooLarge
+		}
+	}
+	switch {
+	case c.phase == active || !errors.Is(err, os.ErrDeadlineExceeded):
+		return 0
+	case time.Now().Before(c.deadline()):
+		return readAgain
+	case c.phase == inHead:
+		return http.StatusRequestTimeout
+	}
+	return 0
+}
+
+// rejectTime bounds the write of a rejection.
+const rejectTime = time.Second
+
+// reject answers the request that is being read with a status. The connection must be closed
+// then.
+func (c *callerConn) reject(status int) {
+	c.rejected(status)
+	_ = c.SetWriteDeadline(time.Now().Add(rejectTime)) // fails only on a closed connection
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+		status, http.StatusText(status)) // the caller has gone if it fails
 }
 
-// minIdleTime is the time after an answer until its connection can be ended to make room
-// for others: the http.Server sets a deadline of its own just after the answer.
+// minIdleTime is the time after an answer until its connection can be ended to make room for
+// others: the caller may be about to send the next request.
 const minIdleTime = 100 * time.Millisecond
 
 // longIdle returns since when the connection has been idle, and whether that is long enough
@@ -47,18 +197,18 @@
 func (c *callerConn) longIdle(now time.Time) (since time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince, c.idle && now.Sub(c.idleSince) >= minIdleTime
+	return c.since, c.phase == idle && now.Sub(c.since) >= minIdleTime
 }
 
-// endIfIdle makes the connection's reads fail if it is idle, or if unused is set and it
-// has not been used, so that its http.Server closes it. If a request is read at the same time, the http.Server sets another deadline
-// for the rest of it. It also does so just after an answer, so endIfIdle must be called
-// until the connection is closed.
+// endIfIdle makes the connection's reads fail if it is idle, or if unused is set and no byte
+// has been read, so that its http.Server closes it. If a request is read at the same time, it
+// is served.
 func (c *callerConn) endIfIdle(unused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle || unused && !c.used {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	if c.phase == idle || unused && c.phase == opened {
+		c.ending = true
+		c.applyDeadline()
 	}
 }
 
@@ -82,7 +232,7 @@
 	delete(s.conns, c)
 }
 
-// observe is the ConnState hook of all servers.
+// observe is the ConnState hook of the http.Server.
 func (s *connSet) observe(c net.Conn, state http.ConnState) {
 	conn, ok := c.(*callerConn)
 	if !ok {
@@ -90,10 +240,22 @@
 	}
 	switch state {
 	case http.StateIdle:
-		conn.setIdle()
+		conn.begin(idle)
+	case http.StateActive: // the head has been read, or it is invalid
+		conn.begin(active)
 	case http.StateClosed, http.StateHijacked:
 		s.remove(conn)
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
+	}
+}
+
+// raise applies limits that have come into force to the open connections where they are
+// higher.
+func (s *connSet) raise(l routing.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.raise(l)
 	}
 }
 
@@ -121,17 +283,17 @@
 		conn  *callerConn
 		since time.Time
 	}
-	var idle []idleConn
+	var found []idleConn
 	now := time.Now()
 	s.mu.Lock()
 	for c := range s.conns {
 		if since, ok := c.longIdle(now); ok {
-			idle = append(idle, idleConn{c, since})
+			found = append(found, idleConn{c, since})
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
-	for _, one := range idle[:min(n, len(idle))] {
+	slices.SortFunc(found, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	for _, one := range found[:min(n, len(found))] {
 		one.conn.endIfIdle(false)
 	}
 }
--- /dev/null
+++ b/io/ingress/limits_test.go
@@ -0,0 +1,176 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"knapweedstall/core/clock"
+	"knapweedstall/core/routing"
+)
+
+// Limits of the tests.
+var (
+	lowLimits  = routing.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeout: 200, IdleTimeout: 300}
+	highLimits = routing.Limits{HeaderBytes: 64 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5000, IdleTimeout: 5000}
+)
+
+// head returns a request whose header has about n bytes.
+func head(n int) string {
+	return "GET / HTTP/1.1\r\nHost: h\r\nX-Fill: " + strings.Repeat("h", n) + "\r\n\r\n"
+}
+
+// status sends text in two parts with a pause between them and returns the status of the
+// answer, 0 for none.
+func (c *keptConn) status(t *testing.T, text string, pause time.Duration) int {
+	t.Helper()
+	part := len(text)
+	if pause > 0 {
+		part = 10
+	}
+	_, _ = io.WriteString(c, text[:part])
+	time.Sleep(pause)
+	_, _ = io.WriteString(c, text[part:])
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestLimitsApplyToKeptConnections guards against connections that keep the limits of the
+// time at which they were opened: callers got no answer, or a rejection, for requests that
+// the limits in force allowed.
+func TestLimitsApplyToKeptConnections(t *testing.T) {
+	large := head(30_000)
+	for name, c := range map[string]struct {
+		before, after routing.Limits
+		idle          time.Duration // from the change to the request
+		text          string
+		pause         time.Duration // in the middle of the head
+		want          int           // 0: the connection is closed
+	}{
+		"larger head":                   {lowLimits, highLimits, 0, large, 0, 204},
+		"head that got too large":       {highLimits, lowLimits, 0, large, 0, 431},
+		"slower head":                   {lowLimits, highLimits, 0, head(10), 500 * time.Millisecond, 204},
+		"head that got too slow":        {highLimits, lowLimits, 0, head(10), 500 * time.Millisecond, 408},
+		"longer idle":                   {lowLimits, highLimits, 500 * time.Millisecond, head(10), 0, 204},
+		"idle since before a lowering":  {highLimits, lowLimits, 500 * time.Millisecond, head(10), 0, 204},
+		"within limits that got lower":  {highLimits, lowLimits, 0, head(7000), 50 * time.Millisecond, 204},
+		"within limits that got higher": {lowLimits, highLimits, 0, head(7000), 50 * time.Millisecond, 204},
+	} {
+		for _, used := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, connection in use %v", name, used), func(t *testing.T) {
+				t.Parallel()
+				s, _ := startServer(t, noContent)
+				go func() { _ = s.Serve() }() // ends with the test
+				s.SetLimits(c.before)
+				conn := dial(t, s)
+				if used && !conn.ask() {
+					t.Fatal("the first request is not answered")
+				}
+				time.Sleep(50 * time.Millisecond) // the connection is accepted, or idle
+				s.SetLimits(c.after)
+				time.Sleep(c.idle)
+				if got := conn.status(t, c.text, c.pause); got != c.want {
+					t.Errorf("status %d, want %d", got, c.want)
+				}
+			})
+		}
+	}
+}
+
+// TestLoweredIdleTimeoutApplies guards against connections that stay open for the idle
+// timeout of earlier limits after requests that were sent since.
+func TestLoweredIdleTimeoutApplies(t *testing.T) {
+	s, _ := startServer(t, noContent)
+	go func() { _ = s.Serve() }() // ends with the test
+	s.SetLimits(highLimits)
+	conn := dial(t, s)
+	conn.ask()
+	s.SetLimits(lowLimits)
+	conn.ask()
+	asked := time.Now()
+	_ = conn.SetReadDeadline(asked.Add(2 * time.Second))
+	_, err := conn.answers.ReadByte()
+	if took := time.Since(asked); err != io.EOF || took < lowLimits.IdleTimeout.Std() {
+		t.Errorf("%v after %v, want the end of the connection after %v", err, took, lowLimits.IdleTimeout.Std())
+	}
+}
+
+// TestManyChangesOfLimits guards against memory and goroutines that grow with the number of
+// changes, and against requests that end without an answer beside changes: each is
+// within all limits.
+func TestManyChangesOfLimits(t *testing.T) {
+	const callers, changes = 20, 400
+	s, _ := startServer(t, noContent)
+	go func() { _ = s.Serve() }() // ends with the test
+	s.SetLimits(highLimits)
+	before := runtime.NumGoroutine()
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			conn := dial(t, s)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(rand.IntN(20)) * time.Millisecond):
+				}
+				if got := conn.status(t, head(7000), 0); got != http.StatusNoContent {
+					t.Errorf("status %d, want 204", got)
+				}
+			}
+		})
+	}
+	for n := range changes {
+		l := highLimits
+		if n%2 == 0 {
+			l.HeaderBytes = lowLimits.HeaderBytes
+		}
+		l.IdleTimeout += clock.Duration(n)
+		s.SetLimits(l)
+		time.Sleep(5 * time.Millisecond)
+	}
+	close(stop)
+	wait.Wait()
+	got := runtime.NumGoroutine()
+	for end := time.Now().Add(3 * time.Second); got > before+2*callers && time.Now().Before(end); got = runtime.NumGoroutine() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got > before+2*callers {
+		t.Errorf("%d goroutines after %d changes with %d connections, %d before", got, changes, callers, before)
+	}
+}
+
+// TestPipelinedRequestIsNotIdle guards against a request that was read together with the one
+// before it and is given up when a planned stop ends idle connections.
+func TestPipelinedRequestIsNotIdle(t *testing.T) {
+	started := make(chan struct{}, 2)
+	s, _ := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		if work(300*time.Millisecond, r) {
+			noContent(w, r)
+		}
+	})
+	go func() { _ = s.Serve() }() // ends with the test
+	c := dial(t, s)
+	if _, err := io.WriteString(c, request+request); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	<-started
+	shutdown(t, s, 2*time.Second)
+	if !c.answered() || !c.answered() {
+		t.Error("a request got no answer")
+	}
+}
--- a/io/ingress/server.go
+++ b/io/ingress/server.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,19 +18,19 @@
 	"knapweedstall/io/accept"
 )
 
-// Server serves callers. A connection keeps the limits that were set when it was opened,
-// since each set of limits has its own http.Server.
+// Server serves callers. The limits in force apply to each request from its first byte, on
+// connections of any age.
 type Server struct {
 	listener       deadlineListener
 	handler        http.Handler
+	server         *http.Server
+	accepted       *connListener // passes connections to server
+	limits         atomic.Pointer[routing.Limits]
 	maxConnections int         // open connections; 0 for no bound
 	failed         func(error) // called when a connection could not be accepted
+	rejected       func(int)   // called with the status when a request is rejected before the handler
 
 	mu      sync.Mutex
-	limits  routing.Limits
-	current *connListener  // of the server with the current limits
-	servers []*http.Server // for all limits so far
-	closed  bool
 	failure time.Time // when a connection could last not be accepted
 
 	accepting sync.WaitGroup // calls of Serve
@@ -53,6 +55,10 @@
 // OnFailure sets the function that is called when a connection could not be accepted.
 func OnFailure(f func(error)) Option { return func(s *Server) { s.failed = f } }
 
+// OnReject sets the function that is called with the status when the head of a request is too
+// slow (408) or too large (431).
+func OnReject(f func(status int)) Option { return func(s *Server) { s.rejected = f } }
+
 // Listen returns a Server that listens on address.
 func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	l, err := net.Listen("tcp", address)
@@ -67,14 +73,46 @@
 }
 
 func newServer(l deadlineListener, handler http.Handler, opts ...Option) *Server {
-	s := &Server{listener: l, handler: handler, failed: func(error) {}, open: newConnSet()}
+	s := &Server{
+		listener: l, handler: handler, failed: func(error) {}, rejected: func(int) {}, open: newConnSet(),
+		accepted: &connListener{conns: make(chan net.Conn), done: make(chan struct{}), address: l.Addr()},
+	}
 	for _, o := range opts {
 		o(s)
 	}
 	s.SetLimits(routing.DefaultLimits)
+	s.server = &http.Server{
+		Handler:        http.HandlerFunc(s.serve),
+		MaxHeaderBytes: math.MaxInt32, // callerConn bounds them
+		ConnState:      s.open.observe,
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+
+		DisableGeneralOptionsHandler: true, // the handler answers OPTIONS * too
+	}
+	go func() { _ = s.server.Serve(s.accepted) }() // always returns an error: http.ErrServerClosed
 	return s
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c.beginHandler()
+	}
+	s.handler.ServeHTTP(w, r)
+}
+
+// BodyLimit returns the most bytes that the body of a request may have by the limits that
+// were in force when its first byte arrived, or 0 if ctx is not that of a request to a Server.
+func BodyLimit(ctx context.Context) int64 {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return 0
+	}
+	return c.bodyLimit()
+}
+
 // ListenerError reports that the listener on an address accepts no deadline.
 type ListenerError struct {
 	Address  string
@@ -89,30 +127,17 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// SetLimits sets the limits of connections that are opened from now on.
+// SetLimits puts limits in force. They apply to each request whose first byte arrives from
+// now on, and to the idle time after it. Where they are higher than before, they apply to
+// requests that are being received and to idle connections too.
 func (s *Server) SetLimits(l routing.Limits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.limits == l || s.closed {
-		return
+	if before := s.limits.Swap(&l); before == nil || *before != l {
+		s.open.raise(l)
 	}
-	s.limits = l
-	server := &http.Server{
-		Handler:           s.handler,
-		MaxHeaderBytes:    l.HeaderBytes,
-		ReadHeaderTimeout: l.HeaderTimeout.Std(),
-		IdleTimeout:       l.IdleTimeout.Std(),
-		ConnState:         s.open.observe,
-
-		DisableGeneralOptionsHandler: true, // the handler answers OPTIONS * too
-	}
-	s.current = &connListener{conns: make(chan net.Conn), done: make(chan struct{}), address: s.listener.Addr()}
-	s.servers = append(s.servers, server)
-	go func(h *connListener) {
-		_ = server.Serve(h) // always returns an error: http.ErrServerClosed or that of a closed listener
-	}(s.current)
 }
 
+func (s *Server) limitsInForce() routing.Limits { return *s.limits.Load() }
+
 // Times of a shutdown.
 const (
 	// queueTime is how long a shutdown goes on accepting connections, which the system
@@ -125,8 +150,7 @@
 	pollPeriod = 5 * time.Millisecond
 )
 
-// Serve accepts connections and passes them to the http.Server with the current limits
-// until Shutdown. An accept that fails, as for want of file descriptors, is repeated.
+// Serve accepts connections and passes them to the http.Server until Shutdown. An accept that fails, as for want of file descriptors, is repeated.
 func (s *Server) Serve() error {
 	s.accepting.Add(1)
 	defer s.accepting.Done()
@@ -136,18 +160,16 @@
 		if err != nil {
 			return nil //nolint:nilerr // the listener is closed or its deadline has passed
 		}
-		s.mu.Lock()
-		h := s.current
-		s.mu.Unlock()
-		c := &callerConn{Conn: accepted}
 		if !s.makeRoom() {
-			_ = c.Close() // the caller turns to another instance
+			_ = accepted.Close() // the caller turns to another instance
 			continue
 		}
+		c := newCallerConn(accepted, s.limitsInForce, s.rejected)
 		s.open.add(c)
+		c.begin(opened)
 		select {
-		case h.conns <- c:
-		case <-h.done:
+		case s.accepted.conns <- c:
+		case <-s.accepted.done:
 			s.open.remove(c)
 			_ = c.Close() // the server is shutting down
 		}
@@ -196,10 +218,6 @@
 // Shutdown stops accepting connections, closes idle ones, waits for requests in progress
 // until ctx is done, and then closes all connections.
 func (s *Server) Shutdown(ctx context.Context) {
-	s.mu.Lock()
-	s.closed = true
-	servers := s.servers
-	s.mu.Unlock()
 	if s.listener.SetDeadline(time.Now().Add(queueTime)) == nil {
 		_ = s.Serve() // until the deadline; an error ends it sooner
 		// A connection that another call accepted last must be counted before the open
@@ -208,9 +226,7 @@
 	}
 	_ = s.listener.Close() // no connection is accepted any more, even if it fails
 	s.awaitConnections(ctx)
-	for _, server := range servers {
-		_ = server.Close() // the process exits
-	}
+	_ = s.server.Close() // the process exits
 }
 
 // awaitConnections ends idle connections, and after newConnectionTime also those on which
