Let rejections reach callers that are still sending

http.Server closes such a connection with bytes of the request unread, which resets it, and the connections hid the method that closes only the sending side. Ruled out: no rejection written (the status arrives), idle timeouts (it is the last read that fails).

The connection closes its sending side after a last answer that leaves bytes unread, and discards what arrives for up to 1 s and 4 MB.

--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -45,7 +45,9 @@
 	since     time.Time      // when the phase began
 	limits    routing.Limits // of the phase, or of the request in progress
 	headBytes int            // bytes read since the beginning of the head
+	handling  bool           // the handler has been called for the request
 	ending    bool           // the connection ends unless a byte arrives; only while opened or idle
+	lingering bool           // the last answer has been written, and what arrives is discarded
 }
 
 // newCallerConn returns a connection in no phase. begin must be called before it is used.
@@ -61,20 +63,22 @@
 }
 
 func (c *callerConn) beginLocked(p phase) {
-	c.phase, c.since, c.ending, c.headBytes = p, time.Now(), false, 0
+	c.phase, c.since, c.ending, c.handling, c.headBytes = p, time.Now(), false, false, 0
 	if p != active {
 		c.limits = c.inForce()
 	}
 	c.applyDeadline()
 }
 
-// beginHandler notes that the handler has been called.
+// beginHandler notes that the handler has been called. What is written from then on is
+// its answer.
 func (c *callerConn) beginHandler() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != active { // the request was read together with the one before it
 		c.beginLocked(active)
 	}
+	c.handling = true
 }
 
 // bodyLimit returns the most bytes that the body of the request in progress may have.
@@ -114,7 +118,9 @@
 }
 
 func (c *callerConn) applyDeadline() {
-	_ = c.Conn.SetReadDeadline(c.deadline()) // fails only on a closed connection
+	if !c.lingering {
+		_ = c.Conn.SetReadDeadline(c.deadline()) // fails only on a closed connection
+	}
 }
 
 // SetReadDeadline implements net.Conn. An http.Server without timeouts sets a deadline only
@@ -166,7 +172,7 @@
 		}
 	}
 	switch {
-	case c.phase == active || !errors.Is(err, os.ErrDeadlineExceeded):
+	case c.phase == active || c.lingering || !errors.Is(err, os.ErrDeadlineExceeded):
 		return 0
 	case time.Now().Before(c.deadline()):
 		return readAgain
@@ -176,18 +182,63 @@
 	return 0
 }
 
-// rejectTime bounds the write of a rejection.
-const rejectTime = time.Second
+// Write implements net.Conn. What http.Server writes without a handler rejects the request,
+// and the connection ends.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	handling, lingering := c.handling, c.lingering
+	c.mu.Unlock()
+	if lingering {
+		return 0, net.ErrClosed // the last answer has been written
+	}
+	n, err := c.Conn.Write(p)
+	if !handling {
+		c.linger()
+	}
+	return n, err //nolint:wrapcheck // http.Server compares it
+}
 
 // reject answers the request that is being read with a status. The connection must be closed
 // then.
 func (c *callerConn) reject(status int) {
 	c.rejected(status)
-	_ = c.SetWriteDeadline(time.Now().Add(rejectTime)) // fails only on a closed connection
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
 		status, http.StatusText(status)) // the caller has gone if it fails
 }
 
+// CloseWrite ends the sending side after the last answer. http.Server calls it when bytes of
+// the request may be unread.
+func (c *callerConn) CloseWrite() error {
+	c.linger()
+	return nil
+}
+
+// Limits of what is discarded after the last answer.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 4 << 20
+)
+
+// linger ends the sending side and discards what the caller still sends, until it closes the
+// connection or a limit is reached. Closing a connection with unread bytes resets it, and the
+// caller would lose the answer.
+func (c *callerConn) linger() {
+	c.mu.Lock()
+	done := c.lingering
+	c.lingering = true
+	c.mu.Unlock()
+	if done {
+		return
+	}
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = w.CloseWrite() // the caller has gone if it fails
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)       // ends with an error in any case
+	_ = c.Conn.SetReadDeadline(past)                       // nothing else is read
+}
+
 // minIdleTime is the time after an answer until its connection can be ended to make room for
 // others: the caller may be about to send the next request.
 const minIdleTime = 100 * time.Millisecond
--- a/io/ingress/limits_test.go
+++ b/io/ingress/limits_test.go
@@ -43,6 +43,9 @@
 		return 0
 	}
 	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Errorf("status %d, and the answer breaks off: %v", resp.StatusCode, err)
+	}
 	return resp.StatusCode
 }
 
@@ -106,9 +109,66 @@
 	}
 }
 
+// TestRejectionReachesCaller guards against callers that get no answer because their
+// connection is reset with bytes of the request unread: they send all of it before they
+// read the answer.
+func TestRejectionReachesCaller(t *testing.T) {
+	body := func(n int) string { return strings.Repeat("b", n) }
+	post := func(header string, n int) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", header, n, body(n))
+	}
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"large head":                  {head(30_000), http.StatusRequestHeaderFieldsTooLarge},
+		"huge head":                   {head(900_000), http.StatusRequestHeaderFieldsTooLarge},
+		"large head and a large body": {post("X-Fill: "+body(30_000)+"\r\n", 1_000_000), http.StatusRequestHeaderFieldsTooLarge},
+		"large body":                  {post("", 2_000_000), http.StatusRequestEntityTooLarge},
+		"malformed head, large body":  {post("bad header\r\n", 1_000_000), http.StatusBadRequest},
+		"unknown coding, large body":  {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: odd\r\n\r\n" + body(1_000_000), http.StatusNotImplemented},
+		"unknown expectation":         {post("Expect: more\r\n", 1_000_000), http.StatusExpectationFailed},
+		"refused before the body":     {post("X-Refuse: 1\r\n", 1_000_000), http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, _ := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Refuse") != "" {
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				if _, err := io.ReadAll(http.MaxBytesReader(w, r.Body, lowLimits.BodyBytes)); err != nil {
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(http.StatusRequestEntityTooLarge)
+					return
+				}
+				noContent(w, r)
+			})
+			go func() { _ = s.Serve() }() // ends with the test
+			s.SetLimits(lowLimits)
+			conn := dial(t, s)
+			// The caller is slower than the server.
+			time.Sleep(50 * time.Millisecond)
+			for sent := 0; sent < len(c.text); {
+				n, err := io.WriteString(conn, c.text[sent:min(sent+100_000, len(c.text))])
+				sent += n
+				if err != nil {
+					t.Fatalf("the connection ended after %d of %d bytes: %v", sent, len(c.text), err)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(600 * time.Millisecond)
+			if got := conn.status(t, "", 0); got != c.want {
+				t.Errorf("status %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // TestManyChangesOfLimits guards against memory and goroutines that grow with the number of
-// changes, and against requests that end without an answer beside changes: each is
-// within all limits.
+// changes, and against requests that end without an answer beside changes: each is either
+// within all limits or above all of them.
 func TestManyChangesOfLimits(t *testing.T) {
 	const callers, changes = 20, 400
 	s, _ := startServer(t, noContent)
@@ -126,8 +186,16 @@
 					return
 				case <-time.After(time.Duration(rand.IntN(20)) * time.Millisecond):
 				}
-				if got := conn.status(t, head(7000), 0); got != http.StatusNoContent {
-					t.Errorf("status %d, want 204", got)
+				text, want := head(7000), http.StatusNoContent
+				if rand.IntN(4) == 0 {
+					text, want = head(100_000), http.StatusRequestHeaderFieldsTooLarge
+				}
+				if got := conn.status(t, text, 0); got != want {
+					t.Errorf("status %d of a head of %d bytes, want %d", got, len(text), want)
+				}
+				if want != http.StatusNoContent {
+					_ = conn.Close()
+					conn = dial(t, s)
 				}
 			}
 		})
