Notice crashes after a request was given up

A crash was looked for only while the request's context was not canceled. Each send that is canceled after the target has got bytes of the request leaves a note for 0.5 s now, without the request's content; the instance looks at idle connections to the target, and opens one only if that tells nothing.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -40,6 +42,22 @@
 	maxRemovals   = 32 // in each period
 )
 
+// crashEvidence is what an instance knows about crashes of targets that were running a
+// request. It outlasts the request and holds none of its content.
+type crashEvidence struct {
+	requestID   string
+	fingerprint poison.Fingerprint
+	services    int // that the request is sent to
+
+	// othersReached is the result of reachesOthers once othersOnce is done.
+	othersOnce    sync.Once
+	othersReached bool
+
+	// Guarded by the gateway's mu.
+	sentTo         []topology.TargetID
+	crashedTargets int // targets that exited while they ran the request
+}
+
 // crashRecords is what an instance does about requests that crash targets. The gateway's
 // mu guards it.
 type crashRecords struct {
@@ -49,6 +67,7 @@
 	written  map[string]writtenCrash
 	telling  map[poison.Fingerprint]bool       // an answer to the request is being written
 	trialsAt map[poison.Fingerprint]clock.Time // this instance doesn't begin a trial before
+	givenUp  givenUpRequests
 }
 
 type writtenCrash struct {
@@ -60,6 +79,7 @@
 	return &crashRecords{
 		tracker: poison.NewTracker(), written: map[string]writtenCrash{},
 		telling: map[poison.Fingerprint]bool{}, trialsAt: map[poison.Fingerprint]clock.Time{},
+		givenUp: givenUpRequests{byTarget: map[poison.Process][]givenUp{}},
 	}
 }
 
@@ -123,32 +143,43 @@
 // checkCrash checks whether a target whose connection broke has crashed, that is,
 // refuses connections while other targets can be reached and has not said that it is about
 // to stop. If the request may be the cause, it shares the crash with all instances.
-func (g *Gateway) checkCrash(q *request, target replica.Listing) {
+func (g *Gateway) checkCrash(e *crashEvidence, target replica.Listing) {
+	if g.refusesConnections(target) {
+		g.reportCrash(e, target)
+	}
+}
+
+func (g *Gateway) refusesConnections(target replica.Listing) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout.Std())
 	defer cancel()
-	if !g.pool.RefusesConnections(ctx, target.ID, target.Address) || !q.reachesOthers() {
+	return g.pool.RefusesConnections(ctx, target.ID, target.Address)
+}
+
+// reportCrash shares the crash of a target with all instances if the request may be the cause.
+func (g *Gateway) reportCrash(e *crashEvidence, target replica.Listing) {
+	if !g.reachesOthers(e) {
 		return
 	}
 	r := platform.CrashRecord{
-		Fingerprint: q.fingerprint, UnixMS: g.clock.UnixMillis(),
+		Fingerprint: e.fingerprint, UnixMS: g.clock.UnixMillis(),
 		Process: poison.Process{Target: target.ID, StartedUnixMS: target.StartedUnixMS},
 	}
-	if !g.noteCrash(q, r) {
+	if !g.noteCrash(e, r) {
 		return
 	}
-	g.log.Warn("target exited while it ran a request", "id", q.out.ID, "target", target.ID, "fingerprint", q.fingerprint)
+	g.log.Warn("target exited while it ran a request", "id", e.requestID, "target", target.ID, "fingerprint", e.fingerprint)
 	g.writeCrashRecord(r)
 }
 
 // noteCrash counts a crash, and reports whether the request may be the cause.
-func (g *Gateway) noteCrash(q *request, r platform.CrashRecord) bool {
+func (g *Gateway) noteCrash(e *crashEvidence, r platform.CrashRecord) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.targets.Leaving(r.Process.Target) {
 		return false
 	}
-	q.crashedTargets++
-	if float64(q.crashedTargets) < minCrashedShare*float64(len(q.services)) {
+	e.crashedTargets++
+	if float64(e.crashedTargets) < minCrashedShare*float64(e.services) {
 		return false
 	}
 	now := g.clock.Now()
@@ -160,19 +191,15 @@
 
 // reachesOthers reports whether targets can be reached that have not received the
 // request. If there are none, it can't be told and counts as true.
-func (q *request) reachesOthers() bool {
-	q.othersOnce.Do(func() {
-		others := q.g.probeTargets(q.targets())
-		q.othersReached = len(others) == 0 || q.g.connectTo(others) > 0
+func (g *Gateway) reachesOthers(e *crashEvidence) bool {
+	e.othersOnce.Do(func() {
+		g.mu.Lock()
+		sentTo := slices.Clone(e.sentTo)
+		g.mu.Unlock()
+		others := g.probeTargets(sentTo)
+		e.othersReached = len(others) == 0 || g.connectTo(others) > 0
 	})
-	return q.othersReached
-}
-
-// targets returns the targets that the request was sent to.
-func (q *request) targets() []topology.TargetID {
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	return q.call.Targets()
+	return e.othersReached
 }
 
 // noteAnswered notes that targets of more than the given number of the request's services
--- a/gateway/delegate.go
+++ b/gateway/delegate.go
@@ -210,7 +210,7 @@
 	now := q.g.clock.Now()
 	r := delegate.Request{
 		Version: int64(table.Config.Version), Route: string(q.route.Name), RequestID: q.out.ID, Method: q.out.Method,
-		Head: q.out.Head, Body: q.out.Body, Fingerprint: q.fingerprint, Remaining: q.params.Deadline.Sub(now) - answerMargin,
+		Head: q.out.Head, Body: q.out.Body, Fingerprint: q.evidence.fingerprint, Remaining: q.params.Deadline.Sub(now) - answerMargin,
 		AlreadySent: q.params.AlreadySent, EarlierSends: q.params.EarlierSends,
 	}
 	if q.params.PartialAt != 0 {
@@ -246,7 +246,7 @@
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	q.g.noteAnswered(q.fingerprint, len(q.services)-missing, len(q.services))
+	q.g.noteAnswered(q.evidence.fingerprint, len(q.services)-missing, len(q.services))
 }
 
 // answerDelegated writes the answer of another instance that ran the request.
--- a/gateway/delegated.go
+++ b/gateway/delegated.go
@@ -33,7 +33,8 @@
 	}
 	q := g.openRequest(route, g.clock.Now())
 	q.out = upstream.Request{ID: r.RequestID, Method: r.Method, Head: r.Head, Body: r.Body}
-	q.fingerprint, q.version = r.Fingerprint, table.Config.Version
+	q.evidence.requestID, q.evidence.fingerprint = r.RequestID, r.Fingerprint
+	q.version = table.Config.Version
 	q.params = callParams(route, q.services, q.arrived, max(r.Remaining, 1), max(r.PartialAfter, 1))
 	q.params.AlreadySent = r.AlreadySent
 	if r.AlreadySent {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,35 +60,30 @@
 // request is a request in progress, of a caller or of another instance that has
 // delegated a search.
 type request struct {
-	g           *Gateway
-	route       *routing.Route
-	services    []routing.ServiceName
-	params      fanout.Params
-	out         upstream.Request // the request as it is sent to targets
-	arrived     clock.Time
-	version     routing.Version       // version of the configuration
-	workspace   *routing.Workspace    // of the caller; nil for none, also for a request of another instance
-	asked       []topology.InstanceID // instances that have not run the request although they were asked
-	fingerprint poison.Fingerprint
-	controlled  bool       // the configuration calls for admission control
-	admitted    *admission // nil if there is no admission control, or another instance has admitted it
+	g          *Gateway
+	route      *routing.Route
+	services   []routing.ServiceName
+	params     fanout.Params
+	out        upstream.Request // the request as it is sent to targets
+	arrived    clock.Time
+	version    routing.Version       // version of the configuration
+	workspace  *routing.Workspace    // of the caller; nil for none, also for a request of another instance
+	asked      []topology.InstanceID // instances that have not run the request although they were asked
+	evidence   *crashEvidence
+	controlled bool       // the configuration calls for admission control
+	admitted   *admission // nil if there is no admission control, or another instance has admitted it
 
 	ctx    context.Context // context of the sends
 	cancel context.CancelFunc
 	wake   chan struct{} // signals that the state is final or next has become earlier
 
-	// othersReached is the result of reachesOthers once othersOnce is done.
-	othersOnce    sync.Once
-	othersReached bool
-
 	// Guarded by the gateway's mu.
-	call           *fanout.Call
-	crashedTargets int               // targets that exited while they ran the request
-	answeredCount  int               // services of which a target has answered
-	next           clock.Time        // when Tick of call must be called next
-	answers        []upstream.Answer // answers of the services, in the order of services
-	failure        upstream.Answer   // latest failure that a target reported; Status is 0 for none
-	state          fanout.State
+	call          *fanout.Call
+	answeredCount int               // services of which a target has answered
+	next          clock.Time        // when Tick of call must be called next
+	answers       []upstream.Answer // answers of the services, in the order of services
+	failure       upstream.Answer   // latest failure that a target reported; Status is 0 for none
+	state         fanout.State
 }
 
 // callerRequest is a request of a caller that may be run.
@@ -165,7 +159,8 @@
 		return
 	}
 	q := g.newRequest(r, c.route, forwardedHeader(r, c.keys, c.owner), data, c.arrived)
-	q.fingerprint, q.version, q.workspace, q.admitted = fingerprint, c.table.Config.Version, c.owner, c.admitted
+	q.evidence.requestID, q.evidence.fingerprint = q.out.ID, fingerprint
+	q.version, q.workspace, q.admitted = c.table.Config.Version, c.owner, c.admitted
 	q.controlled = c.admitted != nil
 	if trial {
 		q.params.MaxAttempts = 1
@@ -248,6 +243,7 @@
 		g.mu.Unlock()
 	}
 	q.answers = make([]upstream.Answer, len(q.services))
+	q.evidence = &crashEvidence{services: len(q.services)}
 	return q
 }
 
@@ -275,6 +271,7 @@
 // launch starts the sends. The gateway's mu must be held.
 func (q *request) launch(sends []fanout.Send) {
 	for _, s := range sends {
+		q.evidence.sentTo = append(q.evidence.sentTo, s.Target.ID)
 		go q.send(s, s.Target.Listing)
 	}
 }
@@ -295,10 +292,13 @@
 		g.log.Info("no valid answer to a send", "id", q.out.ID, "service", s.Service, "target", target.ID, "err", res.Err)
 	}
 	if res.ConnectionBroken && q.ctx.Err() == nil {
-		go g.checkCrash(q, target)
+		go g.checkCrash(q.evidence, target)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if res.MayRun {
+		g.watchGivenUp(q, target)
+	}
 	if q.state == fanout.Open {
 		switch res.Outcome {
 		case replica.Answered:
@@ -306,11 +306,11 @@
 				q.answeredCount++
 			}
 			q.answers[s.Shard] = res.Answer
-			g.noteAnswered(q.fingerprint, q.answeredCount, len(q.services))
+			g.noteAnswered(q.evidence.fingerprint, q.answeredCount, len(q.services))
 		case replica.Failed:
 			q.failure = res.Answer
 			if q.hasRun(res.Answer) {
-				g.noteAnswered(q.fingerprint, 1, 1)
+				g.noteAnswered(q.evidence.fingerprint, 1, 1)
 			}
 		case replica.Shed, replica.Replaced, replica.Unsent, replica.Lost, replica.Canceled:
 		}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -255,6 +255,26 @@
 	return true
 }
 
+// Probe looks at the idle connections to the target, without any traffic. open tells that one
+// of them is still open, so that the process at its other end runs; ended tells that there
+// were some and the target has ended them all.
+func (p *Pool) Probe(id topology.TargetID) (open, ended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[id]
+	for len(list) > 0 {
+		last := list[len(list)-1]
+		if last.usable() {
+			p.idle[id] = list
+			return true, false
+		}
+		last.close()
+		list, ended = list[:len(list)-1], true
+	}
+	delete(p.idle, id)
+	return false, ended
+}
+
 // RefusesConnections reports whether the target's address refuses connections, as it
 // does after a crash.
 func (p *Pool) RefusesConnections(ctx context.Context, id topology.TargetID, address string) bool {
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -47,6 +47,7 @@
 	Stated           replica.Statement // what the answer says about the target
 	Err              error             // why there is no answer
 	ConnectionBroken bool              // the target may have crashed
+	MayRun           bool              // canceled after the target had got bytes of the request
 }
 
 // Send sends r to a target and waits for its answer until ctx is done. remaining is
@@ -97,7 +98,7 @@
 	}
 	res, reusable := p.read(c, r, w)
 	if !stop() && res.Outcome == replica.Lost {
-		res.Outcome = replica.Canceled
+		res.Outcome, res.MayRun = replica.Canceled, true
 	}
 	if !reusable || !w.complete() || ctx.Err() != nil {
 		c.close()
