Take no target for warm because it is back in use

A target was cold only while its entry said so, and the entry is up to 1.2 s old, or older while the store is away. Its warmth is unknown now when it comes back into use: it gets no more than a cold one until it tells by a health probe, by an entry of a later process, or, after an evacuation, by 2.5 s of entries that don't say that it is cold.

Services that state no rate for cold targets, as on all sites in force, see no change.

--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -86,7 +86,8 @@
 	services map[routing.ServiceName][]*Target
 	// evacuated holds the zones whose targets get no requests.
 	evacuated map[topology.ZoneID]bool
-	instances int // that use the targets; 0 when not known
+	unknown   map[*Target]*warmth // targets of which it is not known whether they are warm
+	instances int                 // that use the targets; 0 when not known
 	// searchShare is this instance's share of all searches, 0 to 1.
 	searchShare float64
 	isShard     func(routing.ServiceName) bool // reports whether a service is a shard of searches
@@ -110,6 +111,7 @@
 		targets:     map[topology.TargetID]*Target{},
 		services:    map[routing.ServiceName][]*Target{},
 		evacuated:   map[topology.ZoneID]bool{},
+		unknown:     map[*Target]*warmth{},
 		leaving:     map[topology.TargetID]leavingMark{},
 		paused:      map[topology.TargetID]pauseMark{},
 		periods:     map[routing.ServiceName]*pause.Period{},
@@ -119,9 +121,14 @@
 }
 
 // SetEvacuated replaces the zones whose targets get no requests. It reports
-// whether they changed.
-func (s *Set) SetEvacuated(zones map[topology.ZoneID]bool) bool {
+// whether they changed. Targets that come back into use may be cold.
+func (s *Set) SetEvacuated(zones map[topology.ZoneID]bool, now clock.Time) bool {
 	changed := !maps.Equal(s.evacuated, zones)
+	for _, t := range s.targets {
+		if s.evacuated[t.Zone] && !zones[t.Zone] {
+			s.doubt(t, false, now)
+		}
+	}
 	s.evacuated = zones
 	return changed
 }
@@ -210,7 +217,7 @@
 	if best == nil {
 		return p.failure
 	}
-	if best.Cold(now) && svc != nil && svc.ColdPerSecond > 0 {
+	if svc != nil && svc.ColdPerSecond > 0 && s.bearsCold(best, now) {
 		best.coldTokens.take(s.coldRate(svc), now)
 	}
 	if best.limited {
@@ -300,7 +307,7 @@
 		return Busy, 0
 	case t.limited && now.Before(s.nextSlot(t, now)):
 		return OverLimit, s.nextSlot(t, now)
-	case t.Cold(now) && svc != nil && svc.ColdPerSecond > 0 && !s.coldSendAllowed(t, svc, now):
+	case svc != nil && svc.ColdPerSecond > 0 && s.bearsCold(t, now) && !s.coldSendAllowed(t, svc, now):
 		return Cold, now.Add(clock.Duration(float64(clock.Second) / s.coldRate(svc)))
 	}
 	return Selected, 0
--- a/core/replica/set_test.go
+++ b/core/replica/set_test.go
@@ -78,8 +78,8 @@
 			s.UpdateSince([]replica.Listing{draining}, 100, 1550) // and the other one is missing
 		}, 1700, map[topology.TargetID]int{"a": 10}},
 		"all missing, after the limit":    {func(s *replica.Set) { s.Update(nil, 100) }, 2400, map[topology.TargetID]int{}},
-		"evacuated zone":                  {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}) }, 100, map[topology.TargetID]int{}},
-		"evacuation ended":                {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}); s.SetEvacuated(nil) }, 100, map[topology.TargetID]int{"a": 5, "b": 5}},
+		"evacuated zone":                  {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}, 0) }, 100, map[topology.TargetID]int{}},
+		"evacuation ended":                {func(s *replica.Set) { s.SetEvacuated(map[topology.ZoneID]bool{"z1": true}, 0); s.SetEvacuated(nil, 0) }, 100, map[topology.TargetID]int{"a": 5, "b": 5}},
 		"connection refused":              {func(s *replica.Set) { report(t, s, "b", replica.Result{Outcome: replica.Unsent}, 100) }, 150, map[topology.TargetID]int{"a": 10}},
 		"address taken by another target": {func(s *replica.Set) { report(t, s, "b", replica.Result{Outcome: replica.Replaced}, 100) }, 5000, map[topology.TargetID]int{"a": 10}},
 		"outdated entry of an earlier process": {func(s *replica.Set) {
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -90,6 +90,7 @@
 type Service struct {
 	Name           ServiceName
 	MaxConnections int     // connections that each target accepts from all instances together; 0 when not stated
+	HealthPath     string  // URL path at which its targets tell how they are; "" when not stated
 	ColdPerSecond  float64 // requests per second that a target may get while it is cold, that is, shortly after its start; 0 when not stated
 }
 
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -145,6 +145,7 @@
 		zones[topology.ZoneID(name)] = true
 	}
 	if g.setEvacuated(zones) {
+		g.signalWarmth()
 		g.log.Info("evacuated zones changed", "revision", k.Revision, "zones", len(zones))
 	}
 }
@@ -154,7 +155,7 @@
 func (g *Gateway) setEvacuated(zones map[topology.ZoneID]bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.targets.SetEvacuated(zones)
+	return g.targets.SetEvacuated(zones, g.clock.Now())
 }
 
 // jitter returns a random duration from half to one and a half of d, so that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,21 +44,22 @@
 
 // Gateway is one instance of the tier.
 type Gateway struct {
-	settings     settings.Gateway
-	self         placing.Instance // this instance as it registers itself
-	clock        clock.Clock
-	created      clock.Time // when the Gateway was created
-	log          *log.Logger
-	store        *platform.Store
-	pool         *upstream.Pool
-	bodies       *body.Reader // reads the bodies of callers' requests
-	callers      *ingress.Server
-	stop         atomic.Pointer[stopTimes] // nil until the instance stops
-	syncing      atomic.Bool               // startSync is getting copies from another instance
-	draining     chan struct{}             // closed when requests in progress must end
-	peersChanged chan struct{}             // signals that peers has changed; holds one signal
-	askSoon      chan struct{}             // signals askStore; holds one signal
-	actUntil     atomic.Int64              // clock.Time until which the instance may act on its copies
+	settings      settings.Gateway
+	self          placing.Instance // this instance as it registers itself
+	clock         clock.Clock
+	created       clock.Time // when the Gateway was created
+	log           *log.Logger
+	store         *platform.Store
+	pool          *upstream.Pool
+	bodies        *body.Reader // reads the bodies of callers' requests
+	callers       *ingress.Server
+	stop          atomic.Pointer[stopTimes] // nil until the instance stops
+	syncing       atomic.Bool               // startSync is getting copies from another instance
+	draining      chan struct{}             // closed when requests in progress must end
+	peersChanged  chan struct{}             // signals that peers has changed; holds one signal
+	askSoon       chan struct{}             // signals askStore; holds one signal
+	warmthUnknown chan struct{}             // signals learnWarmth; holds one signal
+	actUntil      atomic.Int64              // clock.Time until which the instance may act on its copies
 
 	// mu guards the fields below up to rollouts.
 	mu        sync.Mutex
@@ -126,6 +127,7 @@
 		draining:          make(chan struct{}),
 		peersChanged:      make(chan struct{}, 1),
 		askSoon:           make(chan struct{}, 1),
+		warmthUnknown:     make(chan struct{}, 1),
 		random:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		crashes:           newCrashRecords(),
 		becomingIsolated:  make(chan struct{}),
@@ -206,6 +208,7 @@
 	go g.askStore(background)
 	go g.sweep(background)
 	go g.removeCrashRecords(background)
+	go g.learnWarmth(background)
 	go g.overload.run(background)
 	go g.runRollouts(background)
 	if g.settings.Quotas != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -299,6 +300,10 @@
 	if res.MayRun {
 		g.watchGivenUp(q, target)
 	}
+	if errors.Is(res.Err, syscall.ECONNREFUSED) {
+		g.targets.Refused(target.ID, target.StartedUnixMS, g.clock.Now())
+		g.signalWarmth()
+	}
 	if q.state == fanout.Open {
 		switch res.Outcome {
 		case replica.Answered:
