--- a/gateway/env_test.go
+++ b/gateway/env_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,22 +147,26 @@
 	Retry   bool // it has a Retry-After header
 }
 
-// requests is the number of requests sent by do.
-var requests int
+// requests is the number of requests with an id of newRequestID.
+var requests atomic.Int64
+
+// newRequestID returns the id of a new request.
+func newRequestID() string { return requestID(requests.Add(1)) }
 
 // lastRequest returns the id of the latest request.
-func lastRequest() string { return fmt.Sprintf("request-%d", requests) }
+func lastRequest() string { return requestID(requests.Load()) }
+
+func requestID(n int64) string { return fmt.Sprintf("request-%d", n) }
 
 // do sends a request to the instance and returns the reply.
 func (in *instance) do(t *testing.T, method, path, body string) reply {
 	t.Helper()
-	requests++
 	r, err := http.NewRequest(method, "http://"+in.settings.Listen.Callers+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	r.Host = host
-	r.Header.Set(platformtest.HeaderRequestID, lastRequest())
+	r.Header.Set(platformtest.HeaderRequestID, newRequestID())
 	r.Header.Set(platformtest.HeaderDeadline, "2000")
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
--- a/gateway/givenup_test.go
+++ b/gateway/givenup_test.go
@@ -21,9 +21,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	requests++
 	r.Host = host
-	r.Header.Set(platformtest.HeaderRequestID, lastRequest())
+	r.Header.Set(platformtest.HeaderRequestID, newRequestID())
 	r.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(deadline))
 	if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
 		_ = resp.Body.Close()
--- a/gateway/halfclosed_test.go
+++ b/gateway/halfclosed_test.go
@@ -21,9 +21,8 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	requests++
 	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 2000\r\n\r\n",
-		method, path, host, platformtest.HeaderRequestID, lastRequest(), platformtest.HeaderDeadline)
+		method, path, host, platformtest.HeaderRequestID, newRequestID(), platformtest.HeaderDeadline)
 	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/latestop_test.go
+++ b/gateway/latestop_test.go
@@ -33,16 +33,16 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	requests++
+	id := newRequestID()
 	text := fmt.Sprintf("POST /order/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 5000\r\nContent-Length: 4\r\n\r\nlamp",
-		host, platformtest.HeaderRequestID, lastRequest(), platformtest.HeaderDeadline)
+		host, platformtest.HeaderRequestID, id, platformtest.HeaderDeadline)
 	if n < 0 {
 		n = len(text) - 1
 	}
 	if _, err := fmt.Fprint(c, text[:n]); err != nil {
 		t.Fatal(err)
 	}
-	return &lateRequest{id: lastRequest(), conn: c, rest: text[n:], answer: bufio.NewReader(c)}
+	return &lateRequest{id: id, conn: c, rest: text[n:], answer: bufio.NewReader(c)}
 }
 
 // finish sends the rest and returns the status of the answer, 0 for none.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -32,10 +32,9 @@
 // post sends a request with so many bytes of header and body, with a pause in its head, and
 // returns the status of the answer, 0 for none.
 func (c *keptCaller) post(path string, headerBytes, bodyBytes int, pause time.Duration) int {
-	requests++
 	_, _ = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: %s\r\n", path, host)
 	time.Sleep(pause)
-	_, _ = fmt.Fprintf(c.conn, "%s: %s\r\n%s: 2000\r\nX-Fill: %s\r\nContent-Length: %d\r\n\r\n%s", platformtest.HeaderRequestID, lastRequest(),
+	_, _ = fmt.Fprintf(c.conn, "%s: %s\r\n%s: 2000\r\nX-Fill: %s\r\nContent-Length: %d\r\n\r\n%s", platformtest.HeaderRequestID, newRequestID(),
 		platformtest.HeaderDeadline, strings.Repeat("h", headerBytes), bodyBytes, strings.Repeat("b", bodyBytes))
 	_ = c.conn.SetReadDeadline(time.Now().Add(4 * time.Second))
 	resp, err := http.ReadResponse(c.answers, nil)
