--- a/io/ingress/limits_test.go
+++ b/io/ingress/limits_test.go
@@ -238,7 +238,9 @@
 	<-started
 	<-started
 	shutdown(t, s, 2*time.Second)
-	if !c.answered() || !c.answered() {
-		t.Error("a request got no answer")
+	for n := range 2 {
+		if !c.answered() {
+			t.Errorf("request %d got no answer", n+1)
+		}
 	}
 }
