Read what has arrived before a head counts as too slow

A process that is suspended for longer than the time of a head, or of an idle connection, would answer 408 or close the connection although the request had arrived in time. It reads what has arrived for 10 ms more now. Found while limits were added to the soak, which suspends processes; by reading, not seen there.

TestSuspendedProcessReadsWhatArrived: status 408 (in a head) and no answer (idle) before.

--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -46,6 +46,7 @@
 	limits    routing.Limits // of the phase, or of the request in progress
 	headBytes int            // bytes read since the beginning of the head
 	handling  bool           // the handler has been called for the request
+	lastRead  bool           // the time is over, and only bytes that have arrived are still read
 	ending    bool           // the connection ends unless a byte arrives; only while opened or idle
 	lingering bool           // the last answer has been written, and what arrives is discarded
 }
@@ -63,7 +64,7 @@
 }
 
 func (c *callerConn) beginLocked(p phase) {
-	c.phase, c.since, c.ending, c.handling, c.headBytes = p, time.Now(), false, false, 0
+	c.phase, c.since, c.ending, c.handling, c.lastRead, c.headBytes = p, time.Now(), false, false, false, 0
 	if p != active {
 		c.limits = c.inForce()
 	}
@@ -153,6 +154,9 @@
 // readAgain is a result of check: the deadline has been put off.
 const readAgain = -1
 
+// lastReadTime is the time for reading what has arrived when the time of a phase is over.
+const lastReadTime = 10 * time.Millisecond
+
 // readBufferBytes is the size of http.Server's buffer: up to so many bytes that follow a head
 // are read with it.
 const readBufferBytes = 4 << 10
@@ -176,6 +180,11 @@
 		return 0
 	case time.Now().Before(c.deadline()):
 		return readAgain
+	case !c.ending && !c.lastRead:
+		// The process may have been suspended while bytes arrived in time.
+		c.lastRead = true
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) // fails only on a closed connection
+		return readAgain
 	case c.phase == inHead:
 		return http.StatusRequestTimeout
 	}
--- a/io/ingress/limits_test.go
+++ b/io/ingress/limits_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -244,3 +247,69 @@
 		}
 	}
 }
+
+// suspendedListener accepts connections that are read by a process which is suspended for
+// some time: bytes arrive, and the deadline passes, before it reads them.
+type suspendedListener struct {
+	*net.TCPListener
+	suspended atomic.Bool
+	duration  time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *suspendedListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	return &suspendedConn{c, l}, err
+}
+
+type suspendedConn struct {
+	net.Conn
+	listener *suspendedListener
+}
+
+// Read implements net.Conn.
+func (c *suspendedConn) Read(p []byte) (int, error) {
+	if c.listener.suspended.Swap(false) {
+		time.Sleep(c.listener.duration)
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(p)
+}
+
+// TestSuspendedProcessReadsWhatArrived guards against requests that are rejected as too slow,
+// or whose connection is closed as idle, because the process was suspended.
+func TestSuspendedProcessReadsWhatArrived(t *testing.T) {
+	for name, inHead := range map[string]bool{"in a head": true, "idle": false} {
+		t.Run(name, func(t *testing.T) {
+			tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := &suspendedListener{TCPListener: tcp, duration: 2 * lowLimits.IdleTimeout.Std()}
+			handled := 0
+			s := newServer(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				handled++
+				time.Sleep(20 * time.Millisecond) // the server reads on meanwhile
+				l.suspended.Store(handled == 1 && !inHead) // from the next read on
+				noContent(w, r)
+			}))
+			defer shutdown(t, s, time.Second)
+			go func() { _ = s.Serve() }() // ends with the test
+			s.SetLimits(lowLimits)
+			c := dial(t, s)
+			if !c.ask() {
+				t.Fatal("the first request is not answered")
+			}
+			text := head(7000)
+			if inHead {
+				l.suspended.Store(true)
+				_, _ = io.WriteString(c, text[:10])
+				time.Sleep(20 * time.Millisecond) // until it is read
+				text = text[10:]
+			}
+			if got := c.status(t, text, 0); got != http.StatusNoContent {
+				t.Errorf("status %d, want 204", got)
+			}
+		})
+	}
+}
