End the doubt about a target when its entry would tell

A target that had refused a connection and whose health probe never answered, as for want of a health path, would have been held to the rate of a cold one for good. Found by reading. 2.5 s of entries without a gap and without another refusal end the doubt now, as after an evacuation.

--- a/core/replica/set.go
+++ b/core/replica/set.go
@@ -126,7 +126,7 @@
 	changed := !maps.Equal(s.evacuated, zones)
 	for _, t := range s.targets {
 		if s.evacuated[t.Zone] && !zones[t.Zone] {
-			s.doubt(t, false, now)
+			s.doubt(t, now)
 		}
 	}
 	s.evacuated = zones
--- a/core/replica/warmth.go
+++ b/core/replica/warmth.go
@@ -23,24 +23,24 @@
 // may have become cold meanwhile, and its entry may not say so yet. It is unknown then, and
 // the target gets no more than a cold one.
 type warmth struct {
-	since   clock.Time // when the target came back into use
-	refused bool       // it has refused connections, so another process may run there now
-	askAt   clock.Time // when this instance asks the target; 0 if that has not been decided
-	asking  bool
+	since  clock.Time // when the target came back into use, or last refused a connection
+	askAt  clock.Time // when this instance asks the target; 0 if that has not been decided
+	asking bool
 }
 
-// doubt makes the warmth of a target unknown. refused tells that it has refused connections.
-func (s *Set) doubt(t *Target, refused bool, now clock.Time) {
-	if w := s.unknown[t]; w != nil && w.refused && refused {
-		return // it is being asked
+// doubt makes the warmth of a target unknown.
+func (s *Set) doubt(t *Target, now clock.Time) {
+	if s.unknown[t] == nil {
+		s.unknown[t] = &warmth{}
 	}
-	s.unknown[t] = &warmth{since: now, refused: refused}
+	s.unknown[t].since = now
 }
 
-// Refused notes that a process of a target has refused a connection.
+// Refused notes that a process of a target has refused a connection, so that another one may
+// run there next.
 func (s *Set) Refused(id topology.TargetID, startedUnixMS int64, now clock.Time) {
 	if t := s.targets[id]; t != nil && t.StartedUnixMS == startedUnixMS {
-		s.doubt(t, true, now)
+		s.doubt(t, now)
 	}
 }
 
@@ -60,13 +60,13 @@
 // Told or NotTold. Those that a cold target bears sends of ask at once, others one
 // after the other. service returns the configuration of a service, nil if there is none.
 //
-// Without an answer, a target that came back into use after it had been left alone counts as
-// warm when its entry would have said otherwise: entryTime after that, and after
-// freshSince, from which on entries have arrived without a gap.
+// Without an answer, a target counts as warm when its entry would have said otherwise:
+// entryTime after it came back into use, and after freshSince, from which on entries have
+// arrived without a gap.
 func (s *Set) Questions(service func(routing.ServiceName) *routing.Service, freshSince, now clock.Time) (due []Question) {
 	maps.DeleteFunc(s.unknown, func(t *Target, w *warmth) bool {
 		svc := service(t.Service)
-		told := !w.refused && now.Sub(max(w.since, freshSince)) >= entryTime
+		told := now.Sub(max(w.since, freshSince)) >= entryTime
 		return s.targets[t.ID] != t || svc == nil || svc.ColdPerSecond <= 0 || told
 	})
 	for t, w := range s.unknown {
--- a/gateway/givenup.go
+++ b/gateway/givenup.go
@@ -72,7 +72,7 @@
 // hasCrashed reports whether the target refuses connections. An idle connection that is still
 // open shows that it doesn't, without a new one.
 func (g *Gateway) hasCrashed(target replica.Listing, process poison.Process) bool {
-	open, ended := g.pool.Probe(target.ID)
+	open, ended := g.pool.LookAtIdle(target.ID)
 	if open {
 		return false
 	}
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -255,10 +255,10 @@
 	return true
 }
 
-// Probe looks at the idle connections to the target, without any traffic. open tells that one
+// LookAtIdle looks at the idle connections to the target, without any traffic. open tells that one
 // of them is still open, so that the process at its other end runs; ended tells that there
 // were some and the target has ended them all.
-func (p *Pool) Probe(id topology.TargetID) (open, ended bool) {
+func (p *Pool) LookAtIdle(id topology.TargetID) (open, ended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[id]
