--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,7 +61,7 @@
 			env.eventually("all instances are ready", 10*time.Second, func(inst *instance) bool { return inst.isReady() })
 			s := &soakRun{
 				environment: env, random: rand.New(rand.NewPCG(seed, 0)), later: rand.New(rand.NewPCG(seed, 1)),
-				entries: rand.New(rand.NewPCG(seed, 2)), responses: map[string]response{},
+				entries: rand.New(rand.NewPCG(seed, 2)), callers: rand.New(rand.NewPCG(seed, 3)), responses: map[string]response{},
 			}
 			s.run()
 			if t.Failed() {
@@ -88,6 +88,7 @@
 	random      *rand.Rand
 	later       *rand.Rand // selects faults that were added later, so that earlier seeds select the same others
 	entries     *rand.Rand // the same for faults of entries in the store
+	callers     *rand.Rand // the same for faults of callers, limits and answers without a length
 	snapshot    platformtest.Snapshot
 	lastRequest atomic.Int64
 	// terminations waits for the instances that are stopping.
@@ -108,6 +109,7 @@
 		s.injectFault()
 		s.injectLaterFault()
 		s.injectEntryFault()
+		s.injectCallerFault()
 		time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -227,6 +229,7 @@
 		target.SetPause("")
 		target.SetDropAnswers(false)
 		target.SetDelay(0)
+		target.SetBreakOff(0)
 		s.endLimit(target)
 	}
 	for _, inst := range s.instances {
@@ -310,6 +313,8 @@
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "":
 		s.t.Errorf("%s: refused without a Retry-After header", id)
+	case resp.StatusCode == http.StatusRequestHeaderFieldsTooLarge || resp.StatusCode == http.StatusRequestTimeout:
+		s.t.Errorf("%s: status %d for a request that all limits allow", id, resp.StatusCode)
 	case resp.StatusCode != http.StatusOK:
 	case path != "/search/":
 		if body != serviceRecord("once") {
