--- a/io/ingress/limits_test.go
+++ b/io/ingress/limits_test.go
@@ -289,7 +289,7 @@
 			handled := 0
 			s := newServer(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				handled++
-				time.Sleep(20 * time.Millisecond) // the server reads on meanwhile
+				time.Sleep(20 * time.Millisecond)          // the server reads on meanwhile
 				l.suspended.Store(handled == 1 && !inHead) // from the next read on
 				noContent(w, r)
 			}))
