Leave the interrupt of a read in place when limits are raised

When limits were raised just while http.Server interrupted its read after an answer, the interrupt was lost: the connection was neither idle nor closed until the caller's next byte, so that a planned stop waited for it. Found by reading. TestRaisedLimitsLeaveInterrupt fails before.

--- a/io/ingress/conn.go
+++ b/io/ingress/conn.go
@@ -98,7 +98,9 @@
 	c.limits.BodyBytes = max(c.limits.BodyBytes, l.BodyBytes)
 	c.limits.HeaderTimeout = max(c.limits.HeaderTimeout, l.HeaderTimeout)
 	c.limits.IdleTimeout = max(c.limits.IdleTimeout, l.IdleTimeout)
-	c.applyDeadline()
+	if c.phase != active { // else the http.Server may be interrupting a read
+		c.applyDeadline()
+	}
 }
 
 // past is a deadline that makes reads fail at once.
--- a/io/ingress/limits_test.go
+++ b/io/ingress/limits_test.go
@@ -313,3 +313,30 @@
 		})
 	}
 }
+
+// deadlineConn notes the latest deadline of reads.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// TestRaisedLimitsLeaveInterrupt guards against a connection that is not reused or closed
+// after an answer, since limits were raised while the http.Server was interrupting a read.
+func TestRaisedLimitsLeaveInterrupt(t *testing.T) {
+	d := &deadlineConn{}
+	c := newCallerConn(d, func() routing.Limits { return lowLimits }, func(int) {})
+	c.begin(active)
+	if err := c.SetReadDeadline(past); err != nil {
+		t.Fatal(err)
+	}
+	c.raise(highLimits)
+	if !d.deadline.Equal(past) {
+		t.Errorf("deadline %v, want %v", d.deadline, past)
+	}
+}
